--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/package-info.java
@@ -0,0 +1,2 @@
+/** The way of one request through its stages: attempts, retries, hedges, streams and the one answer. */
+package org.wagtaillug.dispatch;
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/id/DomainId.java
@@ -0,0 +1,23 @@
+package org.wagtaillug.id;
+
+/**
+ * Names a failure domain, for example {@code pl-a}.
+ *
+ * @param value 1 to 128 characters, not blank
+ */
+public record DomainId(String value) implements Comparable<DomainId> {
+    /** Checks the length. */
+    public DomainId {
+        value = IdText.checked("DomainId", value);
+    }
+
+    @Override
+    public int compareTo(DomainId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/id/StageId.java
@@ -0,0 +1,23 @@
+package org.wagtaillug.id;
+
+/**
+ * Names a stage within its template, for example {@code rerank}.
+ *
+ * @param value 1 to 128 characters, not blank
+ */
+public record StageId(String value) implements Comparable<StageId> {
+    /** Checks the length. */
+    public StageId {
+        value = IdText.checked("StageId", value);
+    }
+
+    @Override
+    public int compareTo(StageId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
