Dispatch, routing, admission and retry budgets

Requests go through their stages with hedges and retries under budgets; a request that cannot be served is refused at once. What must happen once is sent after its claim was won and never again after a byte may have left.

--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -0,0 +1,621 @@
+package org.wagtaillug.dispatch;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.wagtaillug.admission.Admission;
+import org.wagtaillug.configuration.Configuration;
+import org.wagtaillug.contract.CustomerContract;
+import org.wagtaillug.contract.Stage;
+import org.wagtaillug.contract.StageWork;
+import org.wagtaillug.id.AttemptId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Vm;
+import org.wagtaillug.node.Decision;
+import org.wagtaillug.node.Effect;
+import org.wagtaillug.node.Effects;
+import org.wagtaillug.result.Payload;
+import org.wagtaillug.result.Refusal;
+import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.result.RunState;
+import org.wagtaillug.retry.AttemptBudget;
+import org.wagtaillug.routing.Choice;
+import org.wagtaillug.routing.Finish;
+import org.wagtaillug.routing.RoutingPolicy;
+import org.wagtaillug.routing.Upstreams;
+
+/**
+ * Takes each request through its stages to its one answer.
+ *
+ * <p>A request is refused as soon as it is clear that it cannot be served; nothing is held back. What runs once only is
+ * sent to one upstream, after the claim of its key was won, and never again after a byte may have left.
+ */
+public final class Dispatcher {
+    private static final double HEDGE_QUANTILE = 0.95;
+    private static final int UNSENT_ATTEMPTS = 3;
+    private static final int MIDDLE_PRIORITY = 5;
+    private static final int HIGHEST_PRIORITY = 9;
+
+    private final Configuration configuration;
+    private final Upstreams upstreams;
+    private final RoutingPolicy policy;
+    private final OnceOnly onceOnly;
+    private final Admission admission;
+    private final Estimates estimates;
+    private final Intake intake;
+    private final AttemptBudget retries;
+    private final AttemptBudget hedges;
+
+    private final Map<RequestId, RequestFlow> flows = new LinkedHashMap<>();
+    private final Map<AttemptId, LiveAttempt> attempts = new LinkedHashMap<>();
+    private final Map<PoolId, WaitingQueue> queues = new LinkedHashMap<>();
+    private long foreignAnswers;
+
+    /**
+     * Starts with nothing in flight.
+     *
+     * @param limits what this node lets itself do
+     * @param configuration what is in force
+     * @param upstreams what is known of upstreams
+     * @param policy how upstreams are chosen
+     * @param onceOnly claims keys of requests that must run once
+     */
+    public Dispatcher(
+            DispatchLimits limits,
+            Configuration configuration,
+            Upstreams upstreams,
+            RoutingPolicy policy,
+            OnceOnly onceOnly) {
+        this.configuration = configuration;
+        this.upstreams = upstreams;
+        this.policy = policy;
+        this.onceOnly = onceOnly;
+        this.admission = new Admission(limits.requestsInFlight());
+        this.estimates = new Estimates(upstreams);
+        this.intake = new Intake(configuration, upstreams, policy, admission, estimates);
+        this.retries = new AttemptBudget(limits.retryShare());
+        this.hedges = new AttemptBudget(limits.hedgeShare());
+    }
+
+    /** Whether a request of this id is in flight; another of the same id must not be handed in then. */
+    public boolean inFlight(RequestId request) {
+        return flows.containsKey(request);
+    }
+
+    /** How many requests have no answer yet. */
+    public int requestsInFlight() {
+        return flows.size();
+    }
+
+    /** Whether nothing is in flight, also no attempt that outlived its request. */
+    public boolean idle() {
+        return flows.isEmpty() && attempts.isEmpty();
+    }
+
+    /** How many answers came for no attempt in flight. */
+    public long foreignAnswers() {
+        return foreignAnswers;
+    }
+
+    /** Takes in a request, or refuses it. */
+    public void onRequest(Request request, Instant now, Effects effects) {
+        if (flows.containsKey(request.id())) {
+            return;
+        }
+        Either<Intake.Refused, RequestFlow> admitted =
+                intake.admit(request, pool -> queue(pool).size(), now);
+        if (admitted.isLeft()) {
+            Intake.Refused refused = admitted.getLeft();
+            effects.add(new Effect.AnswerRefused(request.id(), refused.templateVersion(), refused.refusal()));
+            logRefusal(request, refused.refusal(), effects);
+            return;
+        }
+        RequestFlow flow = admitted.get();
+        flows.put(request.id(), flow);
+        admission.entered(request.customer(), share(request));
+        retries.earn();
+        hedges.earn();
+        if (flow.idempotent()) {
+            enqueue(flow, now, effects);
+            return;
+        }
+        flow.markAwaitingClaim();
+        onceOnly.ask(request.id(), request.key().orElseThrow(), request.bodyDigest(), flow.deadline(), now, effects);
+    }
+
+    private double share(Request request) {
+        return configuration
+                .customer(request.customer())
+                .map(CustomerContract::share)
+                .orElse(1.0);
+    }
+
+    /** This node won the claim of the request's key: it alone sends, now. */
+    public void onClaimWon(RequestId id, Instant now, Effects effects) {
+        RequestFlow flow = flows.get(id);
+        if (flow == null) {
+            onceOnly.abandon(id, now, effects);
+            return;
+        }
+        flow.markClaimed();
+        enqueue(flow, now, effects);
+    }
+
+    /** The key ran before: its outcome is repeated. */
+    public void onClaimRecorded(
+            RequestId id, ResultCode code, RunState run, Payload output, Instant now, Effects effects) {
+        RequestFlow flow = flows.get(id);
+        if (flow == null) {
+            return;
+        }
+        if (code == ResultCode.SERVED) {
+            serve(flow, output, effects);
+            return;
+        }
+        answerRefused(flow, new Refusal(code, run, Duration.ZERO, "the recorded outcome of this key"), effects);
+    }
+
+    /** The key cannot be claimed. */
+    public void onClaimRefused(RequestId id, Refusal refusal, Instant now, Effects effects) {
+        RequestFlow flow = flows.get(id);
+        if (flow != null) {
+            answerRefused(flow, refusal, effects);
+        }
+    }
+
+    /** The caller takes no answer any more. What must happen once goes on; the rest is given up. */
+    public void onCallerLeft(RequestId id, Instant now, Effects effects) {
+        RequestFlow flow = flows.get(id);
+        if (flow == null) {
+            return;
+        }
+        fail(flow, ResultCode.DEADLINE_EXCEEDED, "the caller left", now, effects);
+    }
+
+    /** An attempt made progress. */
+    public void onProgress(AttemptId id, Instant now) {
+        LiveAttempt live = attempts.get(id);
+        if (live == null) {
+            foreignAnswers++;
+            return;
+        }
+        if (!live.progressed()) {
+            upstreams.progressed(live.attempt().upstream().id(), Duration.between(live.startedAt(), now), now);
+        }
+        live.progress(now);
+    }
+
+    /** An attempt is over. */
+    public void onEnded(AttemptId id, AttemptEnd end, Instant now, Effects effects) {
+        LiveAttempt live = attempts.remove(id);
+        if (live == null) {
+            foreignAnswers++;
+            return;
+        }
+        RequestFlow flow = live.flow();
+        flow.live().remove(live);
+        Duration took = Duration.between(live.startedAt(), now);
+        upstreams.finished(live.attempt().upstream().id(), finish(live, end), took, now);
+        if (end instanceof AttemptEnd.Completed) {
+            estimates.completed(live.attempt().stage().pool(), now);
+        }
+        if (flows.containsKey(flow.request().id())) {
+            goOn(live, end, now, effects);
+        } else if (flow.claimed()) {
+            settleLate(flow, end, now, effects);
+        }
+        pump(live.attempt().stage().pool(), now, effects);
+    }
+
+    private static Finish finish(LiveAttempt live, AttemptEnd end) {
+        if (live.stalled()) {
+            return Finish.FAILED;
+        }
+        return switch (end) {
+            case AttemptEnd.Completed ignored -> Finish.SUCCEEDED;
+            case AttemptEnd.Overloaded ignored -> Finish.OVERLOADED;
+            case AttemptEnd.Rejected ignored -> Finish.CANCELLED;
+            case AttemptEnd.Failed ignored -> live.cancelled() ? Finish.CANCELLED : Finish.FAILED;
+            case AttemptEnd.NotStarted ignored -> Finish.CANCELLED;
+        };
+    }
+
+    private void goOn(LiveAttempt live, AttemptEnd end, Instant now, Effects effects) {
+        RequestFlow flow = live.flow();
+        boolean current = live.attempt().stage().id().equals(flow.stage().id());
+        if (!current) {
+            return;
+        }
+        switch (end) {
+            case AttemptEnd.Completed completed -> succeed(flow, completed.output(), now, effects);
+            case AttemptEnd.Rejected rejected -> reject(flow, rejected.message(), now, effects);
+            case AttemptEnd.Overloaded ignored -> tryAgain(live, "overloaded", false, now, effects);
+            case AttemptEnd.Failed failed -> tryAgain(live, failed.message(), failed.byteLeft(), now, effects);
+            case AttemptEnd.NotStarted ignored -> enqueueUnlessLive(flow, now, effects);
+        }
+    }
+
+    private void succeed(RequestFlow flow, Payload output, Instant now, Effects effects) {
+        flow.markSent();
+        cancelLive(flow, effects);
+        if (flow.advance(output)) {
+            enqueue(flow, now, effects);
+            return;
+        }
+        if (flow.claimed()) {
+            onceOnly.settled(flow.request().id(), ResultCode.SERVED, RunState.RUN, output, now, effects);
+        }
+        serve(flow, output, effects);
+    }
+
+    private void reject(RequestFlow flow, String message, Instant now, Effects effects) {
+        cancelLive(flow, effects);
+        RunState run = flow.sent() ? RunState.UNKNOWN : RunState.NOT_RUN;
+        if (flow.claimed()) {
+            onceOnly.settled(flow.request().id(), ResultCode.UPSTREAM_REJECTED, run, Payload.EMPTY, now, effects);
+        }
+        answerRefused(flow, new Refusal(ResultCode.UPSTREAM_REJECTED, run, Duration.ZERO, message), effects);
+    }
+
+    private void tryAgain(LiveAttempt live, String message, boolean byteLeft, Instant now, Effects effects) {
+        RequestFlow flow = live.flow();
+        flow.noteFailure(live.attempt().upstream().id() + ": " + message);
+        flow.tried().add(live.attempt().upstream().id());
+        if (byteLeft) {
+            flow.markSent();
+        }
+        if (!flow.live().isEmpty()) {
+            return;
+        }
+        if (!flow.idempotent() && flow.sent()) {
+            fail(flow, ResultCode.OUTCOME_UNKNOWN, message, now, effects);
+            return;
+        }
+        int most = flow.idempotent() ? policy.mostAttempts(flow.stage()) : UNSENT_ATTEMPTS;
+        if (flow.attemptsOfStage() >= most) {
+            fail(flow, ResultCode.ATTEMPTS_FAILED, flow.lastFailure(), now, effects);
+            return;
+        }
+        if (!retries.spend()) {
+            fail(flow, ResultCode.RETRY_BUDGET_SPENT, flow.lastFailure(), now, effects);
+            return;
+        }
+        enqueue(flow, now, effects);
+    }
+
+    private void enqueueUnlessLive(RequestFlow flow, Instant now, Effects effects) {
+        if (flow.live().isEmpty() && !flow.waiting()) {
+            enqueue(flow, now, effects);
+        }
+    }
+
+    /**
+     * Records what came of work that must happen once after its caller was told that nobody knows. Guards against a
+     * second run: a caller that asks again with the key gets this outcome in place of the unknown.
+     */
+    private void settleLate(RequestFlow flow, AttemptEnd end, Instant now, Effects effects) {
+        RequestId id = flow.request().id();
+        switch (end) {
+            case AttemptEnd.Completed completed ->
+                onceOnly.settled(id, ResultCode.SERVED, RunState.RUN, completed.output(), now, effects);
+            case AttemptEnd.Failed failed
+            when failed.byteLeft() ->
+                onceOnly.settled(id, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, Payload.EMPTY, now, effects);
+            case AttemptEnd.Rejected ignored ->
+                onceOnly.settled(id, ResultCode.UPSTREAM_REJECTED, RunState.NOT_RUN, Payload.EMPTY, now, effects);
+            case AttemptEnd.Failed ignored -> onceOnly.abandon(id, now, effects);
+            case AttemptEnd.Overloaded ignored -> onceOnly.abandon(id, now, effects);
+            case AttemptEnd.NotStarted ignored -> onceOnly.abandon(id, now, effects);
+        }
+    }
+
+    /** Gives a request up: its caller is told at once what is known of it. */
+    private void fail(RequestFlow flow, ResultCode code, String message, Instant now, Effects effects) {
+        boolean mayHaveRun = flow.sent() || !flow.live().isEmpty();
+        RunState run = mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
+        if (!flow.claimed()) {
+            cancelLive(flow, effects);
+        } else if (flow.live().isEmpty()) {
+            closeClaim(flow, mayHaveRun, now, effects);
+        }
+        Duration retryAfter = retryAfter(flow.stage().pool(), now);
+        ResultCode shown = flow.claimed() && mayHaveRun ? ResultCode.OUTCOME_UNKNOWN : code;
+        answerRefused(flow, new Refusal(shown, run, retryAfter, message), effects);
+    }
+
+    private void closeClaim(RequestFlow flow, boolean mayHaveRun, Instant now, Effects effects) {
+        RequestId id = flow.request().id();
+        if (mayHaveRun) {
+            onceOnly.settled(id, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, Payload.EMPTY, now, effects);
+            return;
+        }
+        onceOnly.abandon(id, now, effects);
+    }
+
+    private void cancelLive(RequestFlow flow, Effects effects) {
+        for (LiveAttempt live : flow.live()) {
+            cancel(live, effects);
+        }
+    }
+
+    private static void cancel(LiveAttempt live, Effects effects) {
+        if (live.cancelled()) {
+            return;
+        }
+        live.cancel();
+        effects.add(new Effect.CancelAttempt(live.attempt().id()));
+    }
+
+    private void serve(RequestFlow flow, Payload output, Effects effects) {
+        forget(flow);
+        effects.add(new Effect.AnswerServed(flow.request().id(), flow.template().version(), output));
+    }
+
+    private void answerRefused(RequestFlow flow, Refusal refusal, Effects effects) {
+        forget(flow);
+        effects.add(
+                new Effect.AnswerRefused(flow.request().id(), flow.template().version(), refusal));
+        logRefusal(flow.request(), refusal, effects);
+    }
+
+    private void forget(RequestFlow flow) {
+        if (flow.waiting()) {
+            queue(flow.stage().pool()).remove(flow);
+        }
+        flows.remove(flow.request().id());
+        admission.left(flow.request().customer());
+    }
+
+    private void enqueue(RequestFlow flow, Instant now, Effects effects) {
+        PoolId pool = flow.stage().pool();
+        queue(pool).add(flow);
+        pump(pool, now, effects);
+    }
+
+    private WaitingQueue queue(PoolId pool) {
+        return queues.computeIfAbsent(pool, ignored -> new WaitingQueue());
+    }
+
+    /** Starts attempts of a pool's waiting requests for as long as there is an upstream that may take one. */
+    private void pump(PoolId pool, Instant now, Effects effects) {
+        WaitingQueue queue = queue(pool);
+        while (!queue.isEmpty()) {
+            if (upstreams.inPool(pool).isEmpty()) {
+                refuseAll(queue, pool, now, effects);
+                return;
+            }
+            RequestFlow flow = queue.mostUrgent(now, estimates::workLeftNanos);
+            Choice choice = choose(flow, now);
+            if (choice.upstream().isEmpty()) {
+                return;
+            }
+            Vm upstream = choice.upstream().get();
+            if (!upstreams.start(upstream.id(), now)) {
+                return;
+            }
+            queue.remove(flow);
+            start(flow, upstream, choice, "route", now, effects);
+        }
+    }
+
+    private Choice choose(RequestFlow flow, Instant now) {
+        Choice fresh = policy.choose(flow.stage(), flow.request().prefix(), flow.tried(), now);
+        boolean allTried =
+                flow.tried().size() >= upstreams.inPool(flow.stage().pool()).size();
+        if (fresh.upstream().isPresent() || flow.tried().isEmpty() || !allTried) {
+            return fresh;
+        }
+        return policy.choose(flow.stage(), flow.request().prefix(), Set.of(), now);
+    }
+
+    private void refuseAll(WaitingQueue queue, PoolId pool, Instant now, Effects effects) {
+        for (RequestFlow flow : queue.all()) {
+            fail(flow, ResultCode.NO_UPSTREAM, "no upstream of pool \"" + pool + "\" is in service", now, effects);
+        }
+    }
+
+    private void start(RequestFlow flow, Vm upstream, Choice choice, String kind, Instant now, Effects effects) {
+        Stage stage = flow.stage();
+        Instant stageEnd = now.plus(stage.timeout());
+        boolean untilDeadline = flow.idempotent() && flow.deadline().isBefore(stageEnd);
+        Instant startBefore = earlier(upstreams.startBefore(upstream.id(), now), flow.deadline());
+        Attempt attempt = new Attempt(
+                flow.nextAttempt(),
+                stage,
+                upstream,
+                flow.input(),
+                startBefore,
+                untilDeadline ? flow.deadline() : stageEnd,
+                priority(flow.worth()),
+                flow.idempotent() ? Optional.empty() : flow.request().key());
+        LiveAttempt live = new LiveAttempt(attempt, flow, now);
+        flow.live().add(live);
+        attempts.put(attempt.id(), live);
+        effects.add(new Effect.StartAttempt(attempt));
+        effects.add(new Effect.LogDecision(decision(kind, attempt, choice)));
+    }
+
+    private static Decision decision(String kind, Attempt attempt, Choice choice) {
+        Decision.Builder builder = Decision.builder(kind)
+                .field("request", attempt.id().request())
+                .field("stage", attempt.stage().id())
+                .field("attempt", attempt.id().number())
+                .field("upstream", attempt.upstream().id())
+                .field("reason", choice.reason());
+        for (String alternative : choice.alternatives()) {
+            builder.alternative(alternative);
+        }
+        return builder.build();
+    }
+
+    private static void logRefusal(Request request, Refusal refusal, Effects effects) {
+        effects.add(new Effect.LogDecision(Decision.builder("refuse")
+                .field("request", request.id())
+                .field("customer", request.customer())
+                .field("template", request.template())
+                .field("code", refusal.code().number())
+                .field("run", refusal.run().text())
+                .field("reason", refusal.message())
+                .build()));
+    }
+
+    /** Lets time pass: deadlines, silent attempts, hedges, and upstreams that have room again. */
+    public void onTick(Instant now, Effects effects) {
+        for (RequestFlow flow : List.copyOf(flows.values())) {
+            checkDeadline(flow, now, effects);
+        }
+        for (LiveAttempt live : List.copyOf(attempts.values())) {
+            checkAttempt(live, now, effects);
+        }
+        for (PoolId pool : List.copyOf(queues.keySet())) {
+            pump(pool, now, effects);
+        }
+        for (Map.Entry<PoolId, Integer> demand : demands().entrySet()) {
+            upstreams.want(demand.getKey(), demand.getValue());
+        }
+    }
+
+    private Map<PoolId, Integer> demands() {
+        Map<PoolId, Integer> demands = new HashMap<>();
+        for (Map.Entry<PoolId, WaitingQueue> entry : queues.entrySet()) {
+            demands.merge(entry.getKey(), entry.getValue().size(), Integer::sum);
+        }
+        for (LiveAttempt live : attempts.values()) {
+            demands.merge(live.attempt().stage().pool(), 1, Integer::sum);
+        }
+        return demands;
+    }
+
+    private void checkDeadline(RequestFlow flow, Instant now, Effects effects) {
+        if (!flow.deadline().isAfter(now)) {
+            fail(
+                    flow,
+                    ResultCode.DEADLINE_EXCEEDED,
+                    "the deadline passed in stage " + flow.stage().id(),
+                    now,
+                    effects);
+            return;
+        }
+        if (policy.refusesEarly() && flow.waiting() && estimates.hopeless(flow, Duration.ZERO, now)) {
+            fail(
+                    flow,
+                    ResultCode.DEADLINE_CANNOT_BE_MET,
+                    "waited too long for an upstream of pool \"" + flow.stage().pool() + "\"",
+                    now,
+                    effects);
+        }
+    }
+
+    private void checkAttempt(LiveAttempt live, Instant now, Effects effects) {
+        if (live.cancelled()) {
+            return;
+        }
+        boolean late = !live.attempt().deadline().isAfter(now);
+        boolean stalled = policy.hedges()
+                && upstreams.stalled(live.attempt().upstream().id(), live.startedAt(), live.lastProgress(), now);
+        if (late || stalled) {
+            live.markStalled();
+            cancel(live, effects);
+            return;
+        }
+        hedge(live, now, effects);
+    }
+
+    /** Starts a rival to an attempt that takes longer than nearly all others of its pool. */
+    private void hedge(LiveAttempt live, Instant now, Effects effects) {
+        RequestFlow flow = live.flow();
+        Stage stage = live.attempt().stage();
+        boolean allowed = policy.hedges() && stage.hedge() && flow.idempotent() && !live.progressed();
+        if (!allowed
+                || flow.live().size() != 1
+                || !flows.containsKey(flow.request().id())) {
+            return;
+        }
+        if (flow.attemptsOfStage() >= policy.mostAttempts(stage)) {
+            return;
+        }
+        boolean streams = stage.work() == StageWork.GENERATE;
+        var usual = streams
+                ? upstreams.firstProgressQuantile(stage.pool(), HEDGE_QUANTILE)
+                : upstreams.quantile(stage.pool(), HEDGE_QUANTILE);
+        if (usual.isEmpty() || Duration.between(live.startedAt(), now).compareTo(usual.get()) <= 0) {
+            return;
+        }
+        Set<VmId> excluded = new HashSet<>(flow.tried());
+        excluded.add(live.attempt().upstream().id());
+        Choice choice = policy.choose(stage, flow.request().prefix(), excluded, now);
+        if (choice.upstream().isEmpty() || !hedges.spend()) {
+            return;
+        }
+        Vm rival = choice.upstream().get();
+        if (upstreams.start(rival.id(), now)) {
+            start(flow, rival, choice, "hedge", now, effects);
+        }
+    }
+
+    private Duration retryAfter(PoolId pool, Instant now) {
+        Duration wait = estimates.wait(pool, queue(pool).size(), now);
+        return wait.compareTo(Intake.SHORTEST_RETRY_AFTER) > 0 ? wait : Intake.SHORTEST_RETRY_AFTER;
+    }
+
+    private static long millisLeft(RequestFlow flow, Instant now) {
+        return Duration.between(now, flow.deadline()).toMillis();
+    }
+
+    private static Instant earlier(Instant left, Instant right) {
+        return left.isBefore(right) ? left : right;
+    }
+
+    /** Maps worth to an engine's priority: worth 1 is in the middle, each doubling one step up. */
+    private static int priority(double worth) {
+        double steps = Math.log(worth) / Math.log(2);
+        int priority = MIDDLE_PRIORITY + (int) Math.round(steps);
+        return Math.max(0, Math.min(HIGHEST_PRIORITY, priority));
+    }
+
+    /** The requests in flight, for administration. */
+    public List<FlowView> views(Instant now) {
+        List<FlowView> views = new ArrayList<>();
+        for (RequestFlow flow : flows.values()) {
+            views.add(new FlowView(
+                    flow.request().id().value(),
+                    flow.request().customer().value(),
+                    flow.request().template().value(),
+                    flow.stage().id().value(),
+                    flow.waiting() ? "waiting" : flow.awaitingClaim() ? "claiming" : "running",
+                    flow.attempts(),
+                    millisLeft(flow, now)));
+        }
+        return views;
+    }
+
+    /**
+     * A request in flight as operators see it.
+     *
+     * @param request its id
+     * @param customer on whose behalf
+     * @param template its template
+     * @param stage the stage it is in
+     * @param state waiting, claiming or running
+     * @param attempts so far
+     * @param millisLeft to its deadline
+     */
+    public record FlowView(
+            String request,
+            String customer,
+            String template,
+            String stage,
+            String state,
+            int attempts,
+            long millisLeft) {}
+}
