--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Json.java
@@ -0,0 +1,50 @@
+package org.wagtaillug.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Try;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+
+/** The one JSON mapper of the process. */
+public final class Json {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private Json() {}
+
+    /** A new object. */
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /** Reads a value, or says what is wrong with it. */
+    public static Try<JsonNode> read(byte[] bytes) {
+        return Try.of(() -> MAPPER.readTree(bytes));
+    }
+
+    /** Reads a value from text, or says what is wrong with it. */
+    public static Try<JsonNode> read(String text) {
+        return Try.of(() -> MAPPER.readTree(text));
+    }
+
+    /** Turns any bean or record into a value. */
+    public static JsonNode value(Object bean) {
+        return MAPPER.valueToTree(bean);
+    }
+
+    /** Writes a value as UTF-8. */
+    public static byte[] write(JsonNode value) {
+        return text(value).getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Writes a value as text. */
+    public static String text(JsonNode value) {
+        try {
+            return MAPPER.writeValueAsString(value);
+        } catch (JsonProcessingException impossible) {
+            throw new UncheckedIOException("a JSON tree is always writable", impossible);
+        }
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
@@ -0,0 +1,103 @@
+package org.wagtaillug.daemon.upstream;
+
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
+import org.eclipse.jetty.client.Result;
+import org.wagtaillug.daemon.control.MonotonicClock;
+import org.wagtaillug.dispatch.Attempt;
+import org.wagtaillug.dispatch.AttemptEnd;
+import org.wagtaillug.id.AttemptId;
+import org.wagtaillug.node.Event;
+
+/** Follows one attempt's exchange and reports its progress and its end. */
+final class AttemptListener {
+    private static final int OK = 200;
+    private static final int FIRST_CLIENT_ERROR = 400;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int TOO_MANY_REQUESTS = 429;
+    private static final Duration PROGRESS_PERIOD = Duration.ofMillis(200);
+
+    private final Attempt attempt;
+    private final AnswerReader reader;
+    private final MonotonicClock clock;
+    private final Consumer<Event> events;
+    private final Consumer<AttemptId> ended;
+    private volatile boolean byteLeft;
+    private volatile boolean tooLate;
+    private Instant lastProgress = Instant.EPOCH;
+
+    AttemptListener(
+            Attempt attempt,
+            AnswerReader reader,
+            MonotonicClock clock,
+            Consumer<Event> events,
+            Consumer<AttemptId> ended) {
+        this.attempt = attempt;
+        this.reader = reader;
+        this.clock = clock;
+        this.events = events;
+        this.ended = ended;
+    }
+
+    /**
+     * The last moment before bytes leave. Guards against a process that was paused between the decision and the
+     * sending: its allowance may have gone to another node meanwhile, and the upstream would get more than it bears.
+     */
+    void onBegin(Request request) {
+        if (!clock.now().isBefore(attempt.startBefore())) {
+            tooLate = true;
+            request.abort(new IllegalStateException("the right to start has run out"));
+            return;
+        }
+        byteLeft = true;
+    }
+
+    void onResponse(Response response) {
+        progress();
+    }
+
+    void onContent(Response response, ByteBuffer bytes) {
+        progress();
+        if (response.getStatus() == OK && !reader.read(bytes)) {
+            response.abort(new IllegalStateException("the answer is useless"));
+        }
+    }
+
+    private void progress() {
+        Instant now = clock.now();
+        if (now.minus(PROGRESS_PERIOD).isBefore(lastProgress)) {
+            return;
+        }
+        lastProgress = now;
+        events.accept(new Event.AttemptProgressed(attempt.id()));
+    }
+
+    void onComplete(Result result) {
+        ended.accept(attempt.id());
+        events.accept(new Event.AttemptEnded(attempt.id(), end(result)));
+    }
+
+    private AttemptEnd end(Result result) {
+        if (tooLate) {
+            return new AttemptEnd.NotStarted();
+        }
+        if (result.isFailed()) {
+            return new AttemptEnd.Failed(byteLeft, String.valueOf(result.getFailure().getMessage()));
+        }
+        int status = result.getResponse().getStatus();
+        if (status == OK) {
+            return reader.end();
+        }
+        if (status == TOO_MANY_REQUESTS) {
+            return new AttemptEnd.Overloaded();
+        }
+        if (status >= FIRST_CLIENT_ERROR && status < FIRST_SERVER_ERROR) {
+            return new AttemptEnd.Rejected("the upstream answered " + status);
+        }
+        return new AttemptEnd.Failed(true, "the upstream answered " + status);
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
@@ -0,0 +1,139 @@
+package org.wagtaillug.daemon.upstream;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.wagtaillug.contract.StageWork;
+import org.wagtaillug.daemon.Json;
+import org.wagtaillug.daemon.callers.CallerExchange;
+import org.wagtaillug.daemon.callers.Exchanges;
+import org.wagtaillug.daemon.control.MonotonicClock;
+import org.wagtaillug.dispatch.Attempt;
+import org.wagtaillug.dispatch.AttemptEnd;
+import org.wagtaillug.id.AttemptId;
+import org.wagtaillug.node.Event;
+
+/**
+ * Sends attempts to upstreams and reports how each ended, once.
+ *
+ * <p>What must happen once goes over a connection that is used for it alone: on a kept connection that the upstream
+ * closes at the same moment nobody could tell whether the call had begun, and each such race would end as "unknown".
+ * The client sends a request on a connection once; it never repeats one of which a byte was written.
+ */
+public final class AttemptSender {
+    private final HttpClient kept;
+    private final HttpClient fresh;
+    private final Exchanges exchanges;
+    private final Consumer<Event> events;
+    private final MonotonicClock clock;
+    private final Map<AttemptId, Request> live = new ConcurrentHashMap<>();
+
+    /**
+     * Sends over the given clients.
+     *
+     * @param kept keeps connections for idempotent work
+     * @param fresh opens a connection for each call that must happen once
+     * @param exchanges where a generating stage's tokens go
+     * @param events takes progress and ends
+     * @param clock tells whether an attempt's right to start has run out
+     */
+    public AttemptSender(
+            HttpClient kept, HttpClient fresh, Exchanges exchanges, Consumer<Event> events, MonotonicClock clock) {
+        this.kept = kept;
+        this.fresh = fresh;
+        this.exchanges = exchanges;
+        this.events = events;
+        this.clock = clock;
+    }
+
+    /** Sends an attempt. */
+    public void start(Attempt attempt) {
+        Optional<CallerExchange> caller = exchanges.find(attempt.id().request());
+        if (caller.isEmpty()) {
+            events.accept(new Event.AttemptEnded(attempt.id(), new AttemptEnd.NotStarted()));
+            return;
+        }
+        Request request = request(attempt, caller.get());
+        AttemptListener listener = new AttemptListener(attempt, reader(attempt, caller.get()), clock, events, this::forget);
+        live.put(attempt.id(), request);
+        request.onRequestBegin(listener::onBegin)
+                .onResponseBegin(listener::onResponse)
+                .onResponseContent(listener::onContent)
+                .send(listener::onComplete);
+    }
+
+    /** Gives up an attempt: its connection is closed. */
+    public void cancel(AttemptId attempt) {
+        Request request = live.get(attempt);
+        if (request != null) {
+            request.abort(new CancellationException("given up"));
+        }
+    }
+
+    private void forget(AttemptId attempt) {
+        live.remove(attempt);
+    }
+
+    private static AnswerReader reader(Attempt attempt, CallerExchange caller) {
+        return switch (attempt.stage().work()) {
+            case GENERATE -> new TokenReader(attempt, caller);
+            case TRANSFORM, CALL -> new ValueReader(attempt);
+        };
+    }
+
+    private Request request(Attempt attempt, CallerExchange caller) {
+        HttpClient client = attempt.key().isPresent() ? fresh : kept;
+        Request request = client.newRequest(
+                        attempt.upstream().host(), attempt.upstream().port())
+                .method(HttpMethod.POST)
+                .path(path(attempt))
+                .headers(headers -> {
+                    headers.put("Wagtaillug-Request", attempt.id().request().value());
+                    headers.put("Wagtaillug-Attempt", attempt.id().toString());
+                    headers.put("Wagtaillug-Priority", Integer.toString(attempt.priority()));
+                })
+                .body(new BytesRequestContent("application/json", body(attempt, caller)));
+        if (attempt.key().isPresent()) {
+            request.headers(headers -> headers.put(HttpHeader.CONNECTION, "close"));
+        }
+        return request;
+    }
+
+    private static String path(Attempt attempt) {
+        return switch (attempt.stage().work()) {
+            case GENERATE -> "/v1/completions";
+            case TRANSFORM -> "/stages/" + attempt.stage().operation();
+            case CALL -> "/" + attempt.stage().operation();
+        };
+    }
+
+    private static byte[] body(Attempt attempt, CallerExchange caller) {
+        ObjectNode body = Json.object();
+        body.put("request", attempt.id().request().value());
+        body.put("attempt", attempt.id().toString());
+        if (attempt.stage().work() == StageWork.GENERATE) {
+            generate(body, attempt, caller);
+            return Json.write(body);
+        }
+        attempt.key().ifPresent(key -> body.put("idempotency_key", key.identity()));
+        body.set("input", Json.read(attempt.input().bytes()).getOrElse(Json.object()));
+        return Json.write(body);
+    }
+
+    private static void generate(ObjectNode body, Attempt attempt, CallerExchange caller) {
+        attempt.stage().model().ifPresent(model -> body.put("model", model.value()));
+        body.put("prompt", caller.inputText() + "\n" + attempt.input().text());
+        body.put("max_tokens", caller.tokens());
+        body.put("stream", true);
+        body.put("resume_from", caller.nextToken(attempt.stage().id()));
+        body.put("seed", caller.request().id().value().hashCode());
+    }
+}
