--- /dev/null
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/Main.java
@@ -0,0 +1,183 @@
+package org.wagtaillug.standin;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterDescription;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.wagtaillug.standin.http.Json;
+import org.wagtaillug.standin.options.CommonOptions;
+import org.wagtaillug.standin.options.EngineOptions;
+import org.wagtaillug.standin.options.LogOptions;
+import org.wagtaillug.standin.options.Nearest;
+import org.wagtaillug.standin.options.ServiceOptions;
+import org.wagtaillug.standin.options.StageOptions;
+import org.wagtaillug.standin.options.VmsOptions;
+import org.wagtaillug.standin.options.WeightsOptions;
+
+/**
+ * The program {@code standin}. Prints one JSON line on its standard output when all ports listen and runs until it is
+ * ended. Exit codes: 0 all well, 1 it could not run, 2 wrong usage.
+ */
+public final class Main {
+    /** All went well. */
+    static final int OK = 0;
+    /** The program could not do its work. */
+    static final int SOFTWARE = 1;
+    /** The command line or a file is wrong. */
+    static final int USAGE = 2;
+
+    private static final String PROGRAM = "standin";
+    private static final String ALL = "all";
+
+    private static final class GlobalOptions {
+        @Parameter(names = "--help", help = true, description = "Shows this help")
+        private boolean help;
+    }
+
+    @Parameters(commandDescription = "All stand-ins of a layout in one process")
+    private static final class AllOptions {
+        @Parameter(names = "--help", help = true, description = "Shows this help")
+        private boolean help;
+
+        @Parameter(names = "--layout", required = true, description = "Layout file in YAML")
+        private String layout;
+    }
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final GlobalOptions global = new GlobalOptions();
+    private final AllOptions all = new AllOptions();
+    private final Map<StandInKind, CommonOptions> options = new EnumMap<>(StandInKind.class);
+    private final JCommander commander;
+
+    Main(PrintStream out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+        options.put(StandInKind.LOG, new LogOptions());
+        options.put(StandInKind.VMS, new VmsOptions());
+        options.put(StandInKind.ENGINE, new EngineOptions());
+        options.put(StandInKind.STAGE, new StageOptions());
+        options.put(StandInKind.SERVICE, new ServiceOptions());
+        options.put(StandInKind.WEIGHTS, new WeightsOptions());
+        commander =
+                JCommander.newBuilder().programName(PROGRAM).addObject(global).build();
+        options.forEach((kind, object) -> commander.addCommand(kind.optionName(), object));
+        commander.addCommand(ALL, all);
+    }
+
+    /** Runs the program and ends the process with its exit code. */
+    public static void main(String[] arguments) {
+        System.exit(new Main(System.out, System.err).run(arguments));
+    }
+
+    /** Runs the program until it is ended and returns its exit code. */
+    int run(String... arguments) {
+        try {
+            checkNames(arguments);
+            commander.parse(arguments);
+        } catch (ParameterException wrong) {
+            return usage(wrong.getMessage());
+        }
+        String command = commander.getParsedCommand();
+        if (global.help) {
+            return help(commander);
+        }
+        if (command == null) {
+            return usage("command: missing, expected one of " + String.join(", ", commands()));
+        }
+        if (command.equals(ALL)) {
+            return runAll();
+        }
+        StandInKind kind = StandInKind.of(command);
+        CommonOptions chosen = options.get(kind);
+        if (chosen.help()) {
+            return help(commander.getCommands().get(command));
+        }
+        if (!chosen.problems().isEmpty()) {
+            return usage("--" + String.join("; --", chosen.problems()));
+        }
+        return serve(() -> StandInProcess.start(kind, chosen));
+    }
+
+    private int runAll() {
+        if (all.help) {
+            return help(commander.getCommands().get(ALL));
+        }
+        Either<String, Layout> layout = Layout.read(Path.of(all.layout));
+        if (layout.isLeft()) {
+            return usage(layout.getLeft());
+        }
+        return serve(() -> StandInProcess.start(layout.get()));
+    }
+
+    private interface Start {
+        StandInProcess start() throws IOException;
+    }
+
+    private int serve(Start start) {
+        CountDownLatch ended = new CountDownLatch(1);
+        try (StandInProcess process = start.start()) {
+            Runtime.getRuntime().addShutdownHook(new Thread(ended::countDown, "standin-end"));
+            out.println(Json.text(process.listening()));
+            out.flush();
+            ended.await();
+            return OK;
+        } catch (IOException failure) {
+            err.println(PROGRAM + ": " + failure.getMessage());
+            return SOFTWARE;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return SOFTWARE;
+        }
+    }
+
+    /** JCommander takes an unknown name for a main parameter and says so in words that help nobody. */
+    private void checkNames(String... arguments) {
+        if (arguments.length == 0 || arguments[0].startsWith("--")) {
+            return;
+        }
+        JCommander command = commander.getCommands().get(arguments[0]);
+        if (command == null) {
+            throw new ParameterException(
+                    "command: found '" + arguments[0] + "', " + Nearest.expected(arguments[0], commands()));
+        }
+        List<String> names = new ArrayList<>();
+        for (ParameterDescription parameter : command.getParameters()) {
+            names.add(parameter.getLongestName());
+        }
+        for (int index = 1; index < arguments.length; index++) {
+            String name = arguments[index];
+            if (name.startsWith("--") && !names.contains(name)) {
+                throw new ParameterException("option: found '" + name + "', " + Nearest.expected(name, names) + " (in "
+                        + arguments[0] + ")");
+            }
+        }
+    }
+
+    private List<String> commands() {
+        return List.copyOf(commander.getCommands().keySet());
+    }
+
+    private int help(JCommander subject) {
+        StringBuilder text = new StringBuilder();
+        subject.getUsageFormatter().usage(text);
+        out.print(text);
+        return OK;
+    }
+
+    private int usage(String problem) {
+        err.println(PROGRAM + ": " + problem);
+        err.println("Try '" + PROGRAM + " --help'.");
+        return USAGE;
+    }
+}
