--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/options/EngineOptions.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/options/EngineOptions.java
@@ -7,6 +7,8 @@
 /** The options of a model engine. */
 @Parameters(commandDescription = "A model engine")
 public class EngineOptions extends UpstreamOptions {
+    private static final int COLD_LIMIT = 2;
+
     @Parameter(names = "--token-millis", description = "Time in milliseconds between two tokens of a stream")
     private long tokenMillis = 5;
 
@@ -32,6 +34,11 @@
             description = "Number of a prompt's first characters that make up its prefix")
     private int prefixCharacters = 256;
 
+    /** Creates the options with their defaults. */
+    public EngineOptions() {
+        super(COLD_LIMIT);
+    }
+
     /** Returns the time in milliseconds between two tokens of a stream; 5 by default. */
     public long tokenMillis() {
         return tokenMillis;
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/options/ServiceOptions.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/options/ServiceOptions.java
@@ -7,12 +7,19 @@
 /** The options of a plain service. */
 @Parameters(commandDescription = "A plain service")
 public class ServiceOptions extends UpstreamOptions {
+    private static final int NO_COLD_LIMIT = 0;
+
     @Parameter(names = "--work-millis", description = "Mean time in milliseconds that one request takes")
     private long workMillis = 10;
 
     @Parameter(names = "--checks-keys", description = "Executes an idempotency key once and repeats its first answer")
     private boolean checksKeys;
 
+    /** Creates the options with their defaults. */
+    public ServiceOptions() {
+        super(NO_COLD_LIMIT);
+    }
+
     /** Returns the mean time in milliseconds that one request takes; 10 by default. */
     public long workMillis() {
         return workMillis;
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/options/StageOptions.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/options/StageOptions.java
@@ -7,6 +7,8 @@
 /** The options of a server of a stage pool. */
 @Parameters(commandDescription = "A server of a stage pool")
 public class StageOptions extends UpstreamOptions {
+    private static final int COLD_LIMIT = 2;
+
     private static final List<String> STAGES = List.of("encode", "retrieve", "rerank");
 
     @Parameter(names = "--stage", description = "Stage that it works on: encode, retrieve or rerank")
@@ -15,6 +17,11 @@
     @Parameter(names = "--work-millis", description = "Mean time in milliseconds that one request takes")
     private long workMillis = 10;
 
+    /** Creates the options with their defaults. */
+    public StageOptions() {
+        super(COLD_LIMIT);
+    }
+
     /** Returns the stage that it works on: encode, retrieve or rerank; encode by default. */
     public String stage() {
         return stage;
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/options/UpstreamOptions.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/options/UpstreamOptions.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** The options that every upstream has. */
-public class UpstreamOptions extends CommonOptions {
+public abstract class UpstreamOptions extends CommonOptions {
     @Parameter(names = "--slots", description = "Number of requests that it works on at once")
     private int slots = 8;
 
@@ -14,7 +14,7 @@
     @Parameter(
             names = "--cold-limit",
             description = "Number of requests that it bears at once while cold; 0 for no limit")
-    private int coldLimit = 2;
+    private int coldLimit;
 
     @Parameter(names = "--warm-after", description = "Number of requests that it has to finish to be warm")
     private int warmAfter = 4;
@@ -25,6 +25,11 @@
     @Parameter(names = "--restart-millis", description = "Time in milliseconds that a restart takes")
     private long restartMillis = 500;
 
+    /** Gives this kind of upstream its own default of the cold limit. */
+    UpstreamOptions(int coldLimit) {
+        this.coldLimit = coldLimit;
+    }
+
     /** Returns the number of requests that it works on at once; 8 by default. */
     public int slots() {
         return slots;
@@ -35,7 +40,7 @@
         return queue;
     }
 
-    /** Returns the number of requests that it bears at once while cold; 0 for no limit; 2 by default. */
+    /** Returns the number of requests that it bears at once while cold; 0 for no limit; 2 by default, 0 for plain services. */
     public int coldLimit() {
         return coldLimit;
     }
