--- /dev/null
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Contracts.java
@@ -0,0 +1,116 @@
+package org.wagtaillug.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wagtaillug.contract.Body;
+
+/**
+ * Reads what operators publish, and writes and reads its JSON form, which the administration API uses.
+ *
+ * <pre>{@code
+ * Either<List<SettingsProblem>, List<Body>> bodies = Contracts.parse(text, "contracts.yaml");
+ * String json = Contracts.toJson(bodies.get().get(0));
+ * Either<List<SettingsProblem>, Body> again = Contracts.fromJson(json);
+ * }</pre>
+ *
+ * <p>The JSON form has the fields of the YAML form, {@code kind} first, with all defaults written out.
+ */
+public final class Contracts {
+    private static final String RESOURCE = "contracts.yaml";
+    private static final String JSON_NAME = "body";
+    private static final List<String> PUBLISHED = List.of("template", "customer", "pool", "placement");
+    private static final List<String> ALL =
+            List.of("template", "customer", "pool", "placement", "domain-service", "vm-service", "removed", "unknown");
+    private static final Map<String, Schema> SCHEMAS = schemas();
+
+    private Contracts() {}
+
+    /**
+     * Reads a file of one or more YAML documents.
+     *
+     * @param text the file's content
+     * @param fileName its name, for the problems
+     * @return all problems in the order of their lines, or what the file holds in its order
+     */
+    public static Either<List<SettingsProblem>, List<Body>> parse(String text, String fileName) {
+        DocumentReader.Reading reading = DocumentReader.yaml(text, fileName);
+        List<SettingsProblem> problems = new ArrayList<>(reading.problems());
+        List<Body> bodies = new ArrayList<>();
+        Map<String, Integer> lines = new HashMap<>();
+        for (Document document : reading.documents()) {
+            List<SettingsProblem> own = check(document, PUBLISHED);
+            problems.addAll(own);
+            if (!own.isEmpty()) {
+                continue;
+            }
+            Body body = ContractForm.read(document.root());
+            int line = document.line(DocumentPath.ROOT);
+            Integer earlier = lines.putIfAbsent(body.key(), line);
+            if (earlier != null) {
+                String once = "it once in the file, as at line " + earlier;
+                problems.add(document.problem(DocumentPath.ROOT, body.key() + " again", once));
+            }
+            bodies.add(body);
+        }
+        return result(problems, bodies);
+    }
+
+    /** Writes any body as one JSON object. Durations are written in whole milliseconds at the finest. */
+    public static String toJson(Body body) {
+        return ContractForm.write(body).toString();
+    }
+
+    /** Reads any body from its JSON object; strict like {@link #parse}, so that a server may take it as checked. */
+    public static Either<List<SettingsProblem>, Body> fromJson(String json) {
+        DocumentReader.Reading reading = DocumentReader.json(json, JSON_NAME);
+        List<SettingsProblem> problems = new ArrayList<>(reading.problems());
+        if (reading.documents().size() > 1) {
+            problems.add(reading.documents().get(1).problem(DocumentPath.ROOT, "a second value", "one JSON object"));
+        }
+        for (Document document : reading.documents()) {
+            problems.addAll(check(document, ALL));
+        }
+        if (!problems.isEmpty()) {
+            return Either.left(List.copyOf(problems));
+        }
+        return Either.right(ContractForm.read(reading.documents().getFirst().root()));
+    }
+
+    private static List<SettingsProblem> check(Document document, List<String> kinds) {
+        JsonNode root = document.root();
+        String expected = "one of " + String.join(", ", kinds);
+        if (!root.isObject()) {
+            return List.of(document.problem(DocumentPath.ROOT, Found.of(root), "a mapping with a field \"kind\""));
+        }
+        String kind = root.path("kind").asText();
+        if (!kinds.contains(kind)) {
+            Optional<String> nearest = NearestName.of(kind, kinds);
+            return List.of(document.problem("kind", Found.of(root.get("kind")), expected, nearest));
+        }
+        Map<String, SettingsProblem> problems = new LinkedHashMap<>();
+        SCHEMAS.get(kind).check(document).forEach(problem -> problems.put(problem.path(), problem));
+        ContractRules.check(document).forEach(problem -> problems.putIfAbsent(problem.path(), problem));
+        return SettingsProblems.sorted(problems.values());
+    }
+
+    private static Either<List<SettingsProblem>, List<Body>> result(List<SettingsProblem> problems, List<Body> bodies) {
+        if (problems.isEmpty()) {
+            return Either.right(List.copyOf(bodies));
+        }
+        return Either.left(SettingsProblems.sorted(problems));
+    }
+
+    private static Map<String, Schema> schemas() {
+        Map<String, Schema> schemas = new HashMap<>();
+        for (String kind : ALL) {
+            schemas.put(kind, Schema.of(RESOURCE, kind));
+        }
+        return schemas;
+    }
+}
--- /dev/null
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/NodeSettingsReader.java
@@ -0,0 +1,174 @@
+package org.wagtaillug.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.OperatorId;
+import org.wagtaillug.id.RegionId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.settings.NodeSettings.Access;
+import org.wagtaillug.settings.NodeSettings.Administration;
+import org.wagtaillug.settings.NodeSettings.Certificate;
+import org.wagtaillug.settings.NodeSettings.Identity;
+import org.wagtaillug.settings.NodeSettings.Limits;
+import org.wagtaillug.settings.NodeSettings.Link;
+import org.wagtaillug.settings.NodeSettings.LinkTls;
+import org.wagtaillug.settings.NodeSettings.Listener;
+import org.wagtaillug.settings.NodeSettings.Log;
+import org.wagtaillug.settings.NodeSettings.Platform;
+import org.wagtaillug.settings.NodeSettings.Policy;
+import org.wagtaillug.settings.NodeSettings.Role;
+import org.wagtaillug.settings.NodeSettings.Seed;
+
+/** Makes {@link NodeSettings} of a text: syntax, schema, rules, then the typed values. */
+final class NodeSettingsReader {
+    private static final Schema SCHEMA = Schema.of("node.yaml", "node-settings");
+
+    private final Path folder;
+
+    private NodeSettingsReader(Path folder) {
+        this.folder = folder;
+    }
+
+    static Either<List<SettingsProblem>, NodeSettings> read(String text, String fileName) {
+        DocumentReader.Reading reading = DocumentReader.yaml(text, fileName);
+        List<SettingsProblem> problems = new ArrayList<>(reading.problems());
+        List<Document> documents = reading.documents();
+        if (documents.size() > 1) {
+            String expected = "one document, so no line ---";
+            problems.add(documents.get(1).problem(DocumentPath.ROOT, "a second document", expected));
+        }
+        if (!documents.isEmpty()) {
+            problems.addAll(check(documents.getFirst()));
+        }
+        if (!problems.isEmpty()) {
+            return Either.left(SettingsProblems.sorted(problems));
+        }
+        NodeSettingsReader reader = new NodeSettingsReader(folder(fileName));
+        return Either.right(reader.settings(documents.getFirst().root()));
+    }
+
+    private static List<SettingsProblem> check(Document document) {
+        Map<String, SettingsProblem> problems = new LinkedHashMap<>();
+        SCHEMA.check(document).forEach(problem -> problems.put(problem.path(), problem));
+        NodeSettingsRules.check(document).forEach(problem -> problems.putIfAbsent(problem.path(), problem));
+        return new ArrayList<>(problems.values());
+    }
+
+    private static Path folder(String fileName) {
+        Path parent = Path.of(fileName).getParent();
+        return parent == null ? Path.of("") : parent;
+    }
+
+    private NodeSettings settings(JsonNode tree) {
+        NodeSettings.Builder settings = NodeSettings.builder(identity(tree.path("node")))
+                .callers(listener(tree.path("callers")))
+                .administration(administration(tree.path("administration")))
+                .link(link(tree.path("link")))
+                .platform(platform(tree.path("platform")))
+                .limits(limits(tree.path("limits")))
+                .log(log(tree.path("log")));
+        for (JsonNode seed : tree.path("seeds")) {
+            settings.seed(seed(seed));
+        }
+        if (tree.has("policy")) {
+            settings.policy(Policy.valueOf(upperCase(tree, "policy")));
+        }
+        return settings.build();
+    }
+
+    private static Identity identity(JsonNode tree) {
+        return new Identity(
+                new VmId(text(tree, "vm")), new DomainId(text(tree, "domain")), new RegionId(text(tree, "region")));
+    }
+
+    private Listener listener(JsonNode tree) {
+        Optional<Certificate> certificate = Optional.empty();
+        if (tree.has("tls")) {
+            JsonNode tls = tree.path("tls");
+            certificate = Optional.of(new Certificate(file(tls, "certificate"), file(tls, "key")));
+        }
+        return new Listener(text(tree, "address"), tree.path("port").asInt(), certificate);
+    }
+
+    private Administration administration(JsonNode tree) {
+        List<Access> accesses = new ArrayList<>();
+        for (JsonNode access : tree.path("tokens")) {
+            Role role = Role.valueOf(upperCase(access, "role"));
+            accesses.add(new Access(text(access, "token"), role, new OperatorId(text(access, "operator"))));
+        }
+        return new Administration(listener(tree), accesses);
+    }
+
+    private Link link(JsonNode tree) {
+        Optional<LinkTls> linkTls = Optional.empty();
+        if (tree.has("tls")) {
+            JsonNode tls = tree.path("tls");
+            linkTls = Optional.of(new LinkTls(file(tls, "certificate"), file(tls, "key"), file(tls, "trust")));
+        }
+        return new Link(text(tree, "address"), tree.path("port").asInt(), linkTls);
+    }
+
+    private static Platform platform(JsonNode tree) {
+        Duration retention = duration(tree, "retention", Platform.DEFAULT_RETENTION);
+        return new Platform(url(tree, "log"), url(tree, "vms"), url(tree, "weights"), retention);
+    }
+
+    private static Seed seed(JsonNode tree) {
+        return new Seed(
+                new VmId(text(tree, "vm")),
+                text(tree, "address"),
+                tree.path("port").asInt(),
+                new DomainId(text(tree, "domain")));
+    }
+
+    private static Limits limits(JsonNode tree) {
+        Limits usual = Limits.DEFAULT;
+        return new Limits(
+                tree.path("requests_in_flight").asInt(usual.requestsInFlight()),
+                tree.path("body_bytes").asInt(usual.bodyBytes()),
+                tree.path("retry_budget").asDouble(usual.retryBudget()),
+                tree.path("hedge_budget").asDouble(usual.hedgeBudget()),
+                duration(tree, "sender_timeout", usual.senderTimeout()));
+    }
+
+    private Log log(JsonNode tree) {
+        Optional<Path> file = tree.has("file") ? Optional.of(file(tree, "file")) : Optional.empty();
+        System.Logger.Level level = Log.DEFAULT.level();
+        if (tree.has("level")) {
+            level = System.Logger.Level.valueOf(upperCase(tree, "level"));
+        }
+        return new Log(file, level);
+    }
+
+    private Path file(JsonNode tree, String field) {
+        return folder.resolve(text(tree, field));
+    }
+
+    private static String url(JsonNode tree, String field) {
+        String url = text(tree, field);
+        return url.endsWith("/") ? url.substring(0, url.length() - 1) : url;
+    }
+
+    private static String text(JsonNode tree, String field) {
+        return tree.path(field).textValue();
+    }
+
+    private static String upperCase(JsonNode tree, String field) {
+        return text(tree, field).toUpperCase(Locale.ROOT);
+    }
+
+    private static Duration duration(JsonNode tree, String field, Duration usual) {
+        return Optional.ofNullable(tree.path(field).textValue())
+                .flatMap(DurationText::parse)
+                .orElse(usual);
+    }
+}
--- /dev/null
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Schema.java
@@ -0,0 +1,195 @@
+package org.wagtaillug.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.networknt.schema.ExecutionContext;
+import com.networknt.schema.Format;
+import com.networknt.schema.JsonMetaSchema;
+import com.networknt.schema.JsonNodePath;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SchemaValidatorsConfig;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One schema from the resources; turns what the validator says into {@link SettingsProblem}s. */
+final class Schema {
+    private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
+    private static final JsonSchemaFactory FACTORY = factory();
+    private static final SchemaValidatorsConfig CONFIG =
+            SchemaValidatorsConfig.builder().formatAssertionsEnabled(true).build();
+    private static final String SECRET = "token";
+
+    private final JsonNode tree;
+    private final JsonSchema validator;
+
+    /** The format of durations, which a pattern cannot bound. */
+    private static final class DurationFormat implements Format {
+        @Override
+        public String getName() {
+            return "wagtaillug-duration";
+        }
+
+        @Override
+        public boolean matches(ExecutionContext context, String value) {
+            return DurationText.parse(value).isPresent();
+        }
+    }
+
+    private Schema(JsonNode tree) {
+        this.tree = tree;
+        this.validator = FACTORY.getSchema(tree, CONFIG);
+    }
+
+    private static JsonSchemaFactory factory() {
+        JsonMetaSchema meta = JsonMetaSchema.builder(JsonMetaSchema.getV202012())
+                .format(new DurationFormat())
+                .build();
+        return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012, builder -> builder.metaSchema(meta));
+    }
+
+    /** The schema of one definition in a resource file. */
+    static Schema of(String resource, String definition) {
+        try (InputStream stream = Schema.class.getResourceAsStream(resource)) {
+            ObjectNode tree = (ObjectNode) YAML.readTree(stream);
+            tree.put("$ref", "#/$defs/" + definition);
+            return new Schema(tree);
+        } catch (IOException fault) {
+            throw new UncheckedIOException("the schema " + resource + " is damaged", fault);
+        }
+    }
+
+    /** All problems of a document, in the order of their lines. One place is told of once. */
+    List<SettingsProblem> check(Document document) {
+        Map<String, SettingsProblem> problems = new LinkedHashMap<>();
+        for (ValidationMessage message : validator.validate(document.root())) {
+            SettingsProblem problem = problem(document, message);
+            problems.putIfAbsent(problem.path(), problem);
+        }
+        List<SettingsProblem> sorted = new ArrayList<>(problems.values());
+        sorted.sort(Comparator.comparingInt(SettingsProblem::line));
+        return sorted;
+    }
+
+    private SettingsProblem problem(Document document, ValidationMessage message) {
+        JsonNodePath location = message.getInstanceLocation();
+        String path = path(location);
+        JsonNode schema = schemaAt(location);
+        String property = message.getProperty();
+        return switch (message.getType()) {
+            case "additionalProperties" -> unknownField(document, path, property, schema);
+            case "required" -> {
+                String place = DocumentPath.field(path, property);
+                yield document.problem(place, "nothing", expected(child(schema, property)));
+            }
+            case "propertyNames" -> {
+                String place = DocumentPath.field(path, property);
+                yield document.problem(place, Found.quoted(property), expected(resolve(schema.path("propertyNames"))));
+            }
+            default -> wrongValue(document, path, message.getInstanceNode(), schema);
+        };
+    }
+
+    private SettingsProblem unknownField(Document document, String path, String property, JsonNode schema) {
+        List<String> names = new ArrayList<>();
+        schema.path("properties").fieldNames().forEachRemaining(names::add);
+        String place = DocumentPath.field(path, property);
+        String choices = "one of " + String.join(", ", names);
+        return document.problem(place, Found.quoted(property), choices, NearestName.of(property, names));
+    }
+
+    private SettingsProblem wrongValue(Document document, String path, JsonNode value, JsonNode schema) {
+        String found = Found.of(value);
+        if (path.endsWith("." + SECRET) && value != null && value.isTextual()) {
+            found = "a token of " + value.textValue().length() + " characters";
+        }
+        Optional<String> nearest = Optional.empty();
+        if (value != null && value.isTextual()) {
+            nearest = NearestName.of(value.textValue(), choices(schema));
+        }
+        return document.problem(path, found, expected(schema), nearest);
+    }
+
+    private static String expected(JsonNode schema) {
+        String description = schema.path("description").asText();
+        if (!description.isEmpty()) {
+            return description;
+        }
+        List<String> choices = choices(schema);
+        if (!choices.isEmpty()) {
+            return "one of " + String.join(", ", choices);
+        }
+        return switch (schema.path("type").asText()) {
+            case "object" -> "a mapping";
+            case "array" -> "a list";
+            case "boolean" -> "true or false";
+            case "integer" -> "a whole number" + range(schema);
+            case "number" -> "a number" + range(schema);
+            default -> "a text";
+        };
+    }
+
+    private static String range(JsonNode schema) {
+        StringBuilder range = new StringBuilder();
+        if (schema.has("minimum")) {
+            range.append(" from ").append(schema.path("minimum").asText());
+        }
+        if (schema.has("exclusiveMinimum")) {
+            range.append(" above ").append(schema.path("exclusiveMinimum").asText());
+        }
+        if (schema.has("maximum")) {
+            range.append(" up to ").append(schema.path("maximum").asText());
+        }
+        return range.toString();
+    }
+
+    private static List<String> choices(JsonNode schema) {
+        List<String> choices = new ArrayList<>();
+        schema.path("enum").forEach(choice -> choices.add(choice.asText()));
+        return choices;
+    }
+
+    private static String path(JsonNodePath location) {
+        String path = DocumentPath.ROOT;
+        for (int index = 0; index < location.getNameCount(); index++) {
+            Object element = location.getElement(index);
+            path = element instanceof Integer item
+                    ? DocumentPath.item(path, item)
+                    : DocumentPath.field(path, element.toString());
+        }
+        return path;
+    }
+
+    private JsonNode schemaAt(JsonNodePath location) {
+        JsonNode schema = resolve(tree);
+        for (int index = 0; index < location.getNameCount(); index++) {
+            Object element = location.getElement(index);
+            schema = element instanceof Integer ? resolve(schema.path("items")) : child(schema, element.toString());
+        }
+        return schema;
+    }
+
+    private JsonNode child(JsonNode schema, String name) {
+        JsonNode named = schema.path("properties").path(name);
+        return resolve(named.isMissingNode() ? schema.path("additionalProperties") : named);
+    }
+
+    private JsonNode resolve(JsonNode schema) {
+        String reference = schema.path("$ref").asText();
+        if (reference.isEmpty()) {
+            return schema;
+        }
+        return resolve(tree.at(reference.substring(1)));
+    }
+}
