--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Rendezvous.java
@@ -0,0 +1,61 @@
+package org.wagtaillug.membership;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Rendezvous hashing: of several candidates the one with the highest score for a subject has it. When a candidate comes
+ * or goes, only the subjects that it wins or held move.
+ *
+ * <p>Each name is hashed once by SHA-256, which gives the same on every platform and spreads names that differ in one
+ * character; a pair is scored by the finalizer of MurmurHash3 over both, which costs a few nanoseconds. A CRC would be as
+ * fast, but it is linear: two candidates would be ordered by one and the same bit for all subjects.
+ */
+public final class Rendezvous {
+    private static final int CACHED_NAMES = 10_000;
+
+    private final Map<String, Long> hashes = new HashMap<>();
+
+    /** The score of a candidate for a subject. The same in every process. */
+    public long score(String subject, String candidate) {
+        return mix(hash(subject) + Long.rotateLeft(hash(candidate), 1));
+    }
+
+    /** The place of a name on a ring. The same in every process. */
+    public long hash(String name) {
+        Long known = hashes.get(name);
+        if (known != null) {
+            return known;
+        }
+        if (hashes.size() >= CACHED_NAMES) {
+            hashes.clear();
+        }
+        long hash = sha256(name);
+        hashes.put(name, hash);
+        return hash;
+    }
+
+    private static long sha256(String name) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(name.getBytes(StandardCharsets.UTF_8));
+            return ByteBuffer.wrap(digest).getLong();
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+    }
+
+    /** The 64-bit finalizer of MurmurHash3. */
+    private static long mix(long value) {
+        long mixed = value;
+        mixed ^= mixed >>> 33;
+        mixed *= 0xff51afd7ed558ccdL;
+        mixed ^= mixed >>> 33;
+        mixed *= 0xc4ceb9fe1a85ec53L;
+        mixed ^= mixed >>> 33;
+        return mixed;
+    }
+}
