--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/http/Timers.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/http/Timers.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
 /** The clock and the few timer threads that all stand-ins of one process share, so that no thread waits for a request. */
@@ -19,6 +20,7 @@
             return thread;
         });
         executor.setRemoveOnCancelPolicy(true);
+        executor.setRejectedExecutionHandler(new ThreadPoolExecutor.DiscardPolicy());
         executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
     }
 
@@ -29,9 +31,6 @@
 
     /** Runs a task on a timer thread as soon as one is free. */
     public void execute(Runnable task) {
-        if (executor.isShutdown()) {
-            return;
-        }
         executor.execute(guarded(task));
     }
 
@@ -45,6 +44,7 @@
         return executor.scheduleWithFixedDelay(guarded(task), millis, millis, TimeUnit.MILLISECONDS);
     }
 
+    /** Ends the threads; what is asked for afterwards is never run. */
     @Override
     public void close() {
         executor.shutdownNow();
