--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Contracts.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Contracts.java
@@ -4,7 +4,6 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -77,7 +76,7 @@
             problems.addAll(check(document, ALL));
         }
         if (!problems.isEmpty()) {
-            return Either.left(List.copyOf(problems));
+            return Either.left(SettingsProblems.sorted(problems));
         }
         return Either.right(ContractForm.read(reading.documents().getFirst().root()));
     }
@@ -93,10 +92,9 @@
             Optional<String> nearest = NearestName.of(kind, kinds);
             return List.of(document.problem("kind", Found.of(root.get("kind")), expected, nearest));
         }
-        Map<String, SettingsProblem> problems = new LinkedHashMap<>();
-        SCHEMAS.get(kind).check(document).forEach(problem -> problems.put(problem.path(), problem));
-        ContractRules.check(document).forEach(problem -> problems.putIfAbsent(problem.path(), problem));
-        return SettingsProblems.sorted(problems.values());
+        List<SettingsProblem> problems = new ArrayList<>(SCHEMAS.get(kind).check(document));
+        problems.addAll(ContractRules.check(document));
+        return SettingsProblems.sorted(problems);
     }
 
     private static Either<List<SettingsProblem>, List<Body>> result(List<SettingsProblem> problems, List<Body> bodies) {
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/DocumentReader.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/DocumentReader.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.yaml.snakeyaml.error.MarkedYAMLException;
 
 /**
  * Reads a text token by token, so that each place gets its line and a key that stands twice is seen, which a reading
@@ -69,7 +70,7 @@
             problems.add(problem(1, DocumentPath.ROOT, "text that cannot be read", "UTF-8 text: " + fault));
         }
         if (documents.isEmpty() && problems.isEmpty()) {
-            problems.add(problem(1, DocumentPath.ROOT, "an empty file", "a document"));
+            problems.add(problem(1, DocumentPath.ROOT, "an empty text", "a document"));
         }
         return new Reading(documents, problems);
     }
@@ -128,13 +129,25 @@
 
     private SettingsProblem syntaxProblem(JsonProcessingException fault) {
         int line = line(fault.getLocation());
+        String reason = fault.getOriginalMessage().lines().findFirst().orElse("");
+        if (fault.getCause() instanceof MarkedYAMLException marked && marked.getProblemMark() != null) {
+            line = marked.getProblemMark().getLine() + 1;
+            reason = reason(marked);
+        }
         if (indentedWithTab(line)) {
             return problem(line, DocumentPath.ROOT, "a tab in the indentation", "spaces");
         }
-        String reason = fault.getOriginalMessage().lines().findFirst().orElse("");
         return problem(line, DocumentPath.ROOT, "text that cannot be read (" + reason + ")", "valid YAML or JSON");
     }
 
+    private static String reason(MarkedYAMLException marked) {
+        if (marked.getContext() == null || marked.getContextMark() == null) {
+            return marked.getProblem();
+        }
+        int begin = marked.getContextMark().getLine() + 1;
+        return marked.getContext() + " from line " + begin + ": " + marked.getProblem();
+    }
+
     private boolean indentedWithTab(int line) {
         String content = text.lines().skip(line - 1L).findFirst().orElse("");
         int indentation = content.length() - content.stripLeading().length();
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/NodeSettingsReader.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/NodeSettingsReader.java
@@ -5,10 +5,8 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.OperatorId;
@@ -47,7 +45,8 @@
             problems.add(documents.get(1).problem(DocumentPath.ROOT, "a second document", expected));
         }
         if (!documents.isEmpty()) {
-            problems.addAll(check(documents.getFirst()));
+            problems.addAll(SCHEMA.check(documents.getFirst()));
+            problems.addAll(NodeSettingsRules.check(documents.getFirst()));
         }
         if (!problems.isEmpty()) {
             return Either.left(SettingsProblems.sorted(problems));
@@ -56,13 +55,6 @@
         return Either.right(reader.settings(documents.getFirst().root()));
     }
 
-    private static List<SettingsProblem> check(Document document) {
-        Map<String, SettingsProblem> problems = new LinkedHashMap<>();
-        SCHEMA.check(document).forEach(problem -> problems.put(problem.path(), problem));
-        NodeSettingsRules.check(document).forEach(problem -> problems.putIfAbsent(problem.path(), problem));
-        return new ArrayList<>(problems.values());
-    }
-
     private static Path folder(String fileName) {
         Path parent = Path.of(fileName).getParent();
         return parent == null ? Path.of("") : parent;
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Schema.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Schema.java
@@ -17,10 +17,7 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 /** One schema from the resources; turns what the validator says into {@link SettingsProblem}s. */
@@ -70,16 +67,13 @@
         }
     }
 
-    /** All problems of a document, in the order of their lines. One place is told of once. */
+    /** All problems of a document; more than one for the same place where a value breaks more than one rule. */
     List<SettingsProblem> check(Document document) {
-        Map<String, SettingsProblem> problems = new LinkedHashMap<>();
+        List<SettingsProblem> problems = new ArrayList<>();
         for (ValidationMessage message : validator.validate(document.root())) {
-            SettingsProblem problem = problem(document, message);
-            problems.putIfAbsent(problem.path(), problem);
+            problems.add(problem(document, message));
         }
-        List<SettingsProblem> sorted = new ArrayList<>(problems.values());
-        sorted.sort(Comparator.comparingInt(SettingsProblem::line));
-        return sorted;
+        return problems;
     }
 
     private SettingsProblem problem(Document document, ValidationMessage message) {
