--- /dev/null
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ChangeCommands.java
@@ -0,0 +1,282 @@
+package org.wagtaillug.tool;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.wagtaillug.contract.Body;
+import org.wagtaillug.contract.CustomerContract;
+import org.wagtaillug.contract.Template;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.TemplateId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.settings.DurationText;
+import org.wagtaillug.settings.NearestName;
+import org.wagtaillug.tool.ChangeSender.Change;
+import org.wagtaillug.tool.ChangeSender.Outcome;
+
+/** The commands that change the configuration. */
+final class ChangeCommands {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final AdministrationClient client;
+    private final Surroundings surroundings;
+
+    ChangeCommands(AdministrationClient client, Surroundings surroundings) {
+        this.client = client;
+        this.surroundings = surroundings;
+    }
+
+    /** One key and what it shall hold. */
+    private record Wanted(String key, Body body) {}
+
+    Either<ToolFailure, Result> publish(Command.Publish command) {
+        return ContractFiles.bodies(command.files()).flatMap(bodies -> {
+            List<Wanted> wanted = new ArrayList<>();
+            for (Body body : bodies) {
+                wanted.add(new Wanted(body.key(), body));
+            }
+            return ConfigurationView.read(client).flatMap(view -> {
+                warnOfUnknownTemplates(bodies, view);
+                return apply(wanted, view, command.change());
+            });
+        });
+    }
+
+    /** A customer's parameters for a template that does not exist change nothing, which is hard to notice later. */
+    private void warnOfUnknownTemplates(List<Body> bodies, ConfigurationView view) {
+        TreeSet<String> known = new TreeSet<>();
+        for (String key : view.entries().keySet()) {
+            if (key.startsWith("template/") && !view.entries().get(key).removed()) {
+                known.add(key.substring("template/".length()));
+            }
+        }
+        for (Body body : bodies) {
+            if (body instanceof Template template) {
+                known.add(template.id().value());
+            }
+        }
+        for (Body body : bodies) {
+            if (!(body instanceof CustomerContract customer)) {
+                continue;
+            }
+            for (TemplateId template : customer.parameters().keySet()) {
+                if (!known.contains(template.value())) {
+                    String text = "warning: " + customer.key() + ": parameters." + template + ": no such template";
+                    surroundings.errors().println(text + didYouMean(template.value(), known));
+                }
+            }
+        }
+    }
+
+    Either<ToolFailure, Result> remove(Command.Remove command) {
+        if (command.keys().size() != 1) {
+            return Either.left(
+                    CommandLine.usage("remove: found " + command.keys().size() + " keys; expected one"));
+        }
+        String key = command.keys().getFirst();
+        return ConfigurationView.read(client).flatMap(view -> {
+            Optional<ConfigurationView.Entry> entry = view.entry(key);
+            if (entry.isEmpty() || entry.get().removed()) {
+                return Either.left(ViewCommands.noSuchKey(key, view));
+            }
+            return apply(List.of(new Wanted(key, new Body.Removed())), view, command.change());
+        });
+    }
+
+    Either<ToolFailure, Result> domain(Command.Domain command) {
+        return outOrBack("domain", "DOMAIN", command.words())
+                .flatMap(out -> named(command.words().get(1), DomainId::new)
+                        .flatMap(domain -> service(
+                                "domain", domain.value(), new Body.DomainService(domain, out), command.change())));
+    }
+
+    Either<ToolFailure, Result> vm(Command.Vm command) {
+        return outOrBack("vm", "VM", command.words())
+                .flatMap(out -> named(command.words().get(1), VmId::new)
+                        .flatMap(vm -> service("vm", vm.value(), new Body.VmService(vm, out), command.change())));
+    }
+
+    private static <T> Either<ToolFailure, T> named(String name, Function<String, T> type) {
+        try {
+            return Either.right(type.apply(name));
+        } catch (IllegalArgumentException fault) {
+            return Either.left(CommandLine.usage(fault.getMessage()));
+        }
+    }
+
+    private static Either<ToolFailure, Boolean> outOrBack(String command, String what, List<String> words) {
+        boolean known = words.size() == 2 && List.of("out", "back").contains(words.getFirst());
+        if (!known) {
+            return Either.left(CommandLine.usage(command + ": found \"" + String.join(" ", words) + "\"; expected out "
+                    + what + " or back " + what));
+        }
+        return Either.right(words.getFirst().equals("out"));
+    }
+
+    /** A mistyped name would be taken out and the right one would go on, so that a new name must be one that is seen. */
+    private Either<ToolFailure, Result> service(String field, String name, Body body, Command.ChangeOptions options) {
+        return ConfigurationView.read(client).flatMap(view -> {
+            if (view.entry(body.key()).isPresent() || options.unlisted()) {
+                return apply(List.of(new Wanted(body.key(), body)), view, options);
+            }
+            return seen(field).flatMap(names -> {
+                if (!names.contains(name)) {
+                    String expected = "; expected one of " + String.join(", ", names);
+                    return Either.left(new ToolFailure.NotFound("found the " + field + " \"" + name + "\"" + expected
+                            + didYouMean(name, names) + " (--unlisted takes it all the same)"));
+                }
+                return apply(List.of(new Wanted(body.key(), body)), view, options);
+            });
+        });
+    }
+
+    private Either<ToolFailure, TreeSet<String>> seen(String field) {
+        return client.get("/admin/upstreams")
+                .flatMap(upstreams -> client.get("/admin/nodes").map(nodes -> {
+                    TreeSet<String> names = new TreeSet<>();
+                    upstreams
+                            .path("upstreams")
+                            .forEach(upstream -> names.add(upstream.path(field).asText()));
+                    nodes.path("nodes")
+                            .forEach(node -> names.add(node.path(field).asText()));
+                    names.remove("");
+                    return names;
+                }));
+    }
+
+    private Either<ToolFailure, Result> apply(
+            List<Wanted> wanted, ConfigurationView view, Command.ChangeOptions options) {
+        Optional<Duration> timeout = DurationText.parse(options.timeout());
+        if (timeout.isEmpty()) {
+            String expected = "; expected a duration, for example 5s";
+            return Either.left(CommandLine.usage("--timeout: found \"" + options.timeout() + "\"" + expected));
+        }
+        if (options.base() != null && wanted.size() != 1) {
+            String found = "--base: found with " + wanted.size() + " contracts";
+            return Either.left(CommandLine.usage(found + "; expected one, as each key has its own version"));
+        }
+        ChangeSender sender = new ChangeSender(client, surroundings, timeout.get());
+        Report report = new Report();
+        for (Wanted next : wanted) {
+            if (report.failed) {
+                report.notSent(next.key());
+                continue;
+            }
+            Optional<ConfigurationView.Entry> entry = view.entry(next.key());
+            if (options.base() == null && entry.isPresent() && entry.get().holds(next.body())) {
+                report.unchanged(next.key(), entry.get().version());
+                continue;
+            }
+            long base = options.base() == null ? view.version(next.key()) : options.base();
+            report.add(next.key(), base, sender.send(new Change(next.key(), base, next.body())));
+        }
+        if (options.waits() && report.newest > 0) {
+            report.reach(new ForceWait(client, surroundings).await(report.newest, timeout.get()), timeout.get());
+        }
+        return Either.right(report.result());
+    }
+
+    /** Collects what came of the changes of one command. */
+    private static final class Report {
+        private final List<String> lines = new ArrayList<>();
+        private final List<String> errors = new ArrayList<>();
+        private final ObjectNode json = JsonNodeFactory.instance.objectNode();
+        private final ArrayNode changes = json.putArray("changes");
+        private long newest;
+        private boolean failed;
+
+        void unchanged(String key, long version) {
+            lines.add(key + ": unchanged, version " + version);
+            entry(key, "unchanged").put("version", version);
+            newest = Math.max(newest, version);
+        }
+
+        void notSent(String key) {
+            errors.add(key + ": not sent, as one before it failed");
+            entry(key, "not-sent");
+        }
+
+        void add(String key, long base, Outcome outcome) {
+            failed = !(outcome instanceof Outcome.Accepted);
+            switch (outcome) {
+                case Outcome.Accepted accepted -> {
+                    newest = accepted.version();
+                    lines.add(key + ": accepted as version " + accepted.version());
+                    entry(key, "accepted").put("version", accepted.version());
+                }
+                case Outcome.Crossed crossed -> {
+                    String winner = crossed.winner()
+                            .map(version -> "version " + version)
+                            .orElse("another change");
+                    errors.add(key + ": not accepted: " + winner + " won; yours was made from version " + base
+                            + ". See diff and publish again");
+                    ObjectNode entry = entry(key, "crossed").put("base", base);
+                    crossed.winner().ifPresent(version -> entry.put("winner", version));
+                }
+                case Outcome.Failed refused -> {
+                    errors.add(key + ": not accepted: " + refused.failure().message());
+                    entry(key, "failed").put("message", refused.failure().message());
+                }
+                case Outcome.Unknown unknown -> unknown(key, unknown);
+            }
+        }
+
+        private void unknown(String key, Outcome.Unknown unknown) {
+            String now = unknown.entry()
+                    .map(entry -> "; it is now at version " + entry.version() + ", which "
+                            + (unknown.asSent() ? "holds what was sent" : "does not hold what was sent"))
+                    .orElse("");
+            errors.add(key + ": not known whether accepted (" + unknown.reason() + ")" + now);
+            ObjectNode entry = entry(key, "unknown").put("message", unknown.reason());
+            unknown.entry().ifPresent(shown -> entry.put("version", shown.version()));
+            entry.put("as_sent", unknown.asSent());
+        }
+
+        private ObjectNode entry(String key, String outcome) {
+            return changes.addObject().put("key", key).put("outcome", outcome);
+        }
+
+        void reach(Either<ToolFailure, ForceWait.Reach> reach, Duration timeout) {
+            if (reach.isLeft()) {
+                failed = true;
+                errors.add("not known whether version " + newest + " is in force: "
+                        + reach.getLeft().message());
+                json.putObject("in_force").put("version", newest).put("in_force", false);
+                return;
+            }
+            ForceWait.Reach known = reach.get();
+            String text = "in force on " + known.reached() + " of " + known.nodes() + " nodes";
+            JsonNode names = JSON.valueToTree(known.waitingFor());
+            ObjectNode entry = json.putObject("in_force").put("version", newest);
+            entry.put("in_force", known.everywhere());
+            entry.put("reached", known.reached()).put("nodes", known.nodes()).set("waiting_for", names);
+            if (known.everywhere()) {
+                lines.add(text);
+                return;
+            }
+            failed = true;
+            errors.add(text + " after " + DurationText.format(timeout) + "; waiting for "
+                    + String.join(", ", known.waitingFor()));
+        }
+
+        Result result() {
+            ExitCode exitCode = failed ? ExitCode.FAILED : ExitCode.OK;
+            return new Result(String.join("\n", lines), String.join("\n", errors), json, exitCode);
+        }
+    }
+
+    private static String didYouMean(String name, TreeSet<String> names) {
+        return NearestName.of(name, names)
+                .map(nearest -> "; did you mean \"" + nearest + "\"?")
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/Command.java
@@ -0,0 +1,276 @@
+package org.wagtaillug.tool;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A command with its arguments, as the command line gave them. */
+sealed interface Command {
+    /** The command's name on the command line. */
+    String name();
+
+    /** A command that asks no node. */
+    sealed interface Offline extends Command {}
+
+    /** A command that asks nodes. */
+    sealed interface Online extends Command {}
+
+    /** How a change is sent and waited for. */
+    final class ChangeOptions {
+        @Parameter(
+                names = "--base",
+                description = "The version that the change is made from. Default: the one that is in force now")
+        private Long base;
+
+        @Parameter(names = "--wait", description = "Waits until every live node has the change in force")
+        private boolean waits;
+
+        @Parameter(names = "--timeout", description = "The longest wait. Default: 5s")
+        private String timeout = "5s";
+
+        @Parameter(names = "--unlisted", description = "Accepts a failure domain or VM that no node has seen")
+        private boolean unlisted;
+
+        Long base() {
+            return base;
+        }
+
+        boolean waits() {
+            return waits;
+        }
+
+        String timeout() {
+            return timeout;
+        }
+
+        boolean unlisted() {
+            return unlisted;
+        }
+    }
+
+    /** Makes what files hold the configuration in force. */
+    @Parameters(commandDescription = "Publishes templates, customers, pools and placements")
+    final class Publish implements Online {
+        @Parameter(description = "FILE...", required = true)
+        private List<String> files = new ArrayList<>();
+
+        @ParametersDelegate
+        private ChangeOptions change = new ChangeOptions();
+
+        @Override
+        public String name() {
+            return "publish";
+        }
+
+        List<String> files() {
+            return files;
+        }
+
+        ChangeOptions change() {
+            return change;
+        }
+    }
+
+    /** Checks files without a node. */
+    @Parameters(commandDescription = "Checks files of contracts or of a node's settings; asks no node")
+    final class Validate implements Offline {
+        @Parameter(description = "FILE...", required = true)
+        private List<String> files = new ArrayList<>();
+
+        @Override
+        public String name() {
+            return "validate";
+        }
+
+        List<String> files() {
+            return files;
+        }
+    }
+
+    /** Compares files with what is in force. */
+    @Parameters(commandDescription = "Shows what publishing the files would change")
+    final class Diff implements Online {
+        @Parameter(description = "FILE...", required = true)
+        private List<String> files = new ArrayList<>();
+
+        @Override
+        public String name() {
+            return "diff";
+        }
+
+        List<String> files() {
+            return files;
+        }
+    }
+
+    /** Shows what is in force. */
+    @Parameters(commandDescription = "Shows the configuration in force, or one key of it")
+    final class Show implements Online {
+        @Parameter(description = "[KEY]")
+        private List<String> keys = new ArrayList<>();
+
+        @Override
+        public String name() {
+            return "show";
+        }
+
+        List<String> keys() {
+            return keys;
+        }
+    }
+
+    /** Takes a key out of the configuration. */
+    @Parameters(commandDescription = "Removes a key from the configuration")
+    final class Remove implements Online {
+        @Parameter(description = "KEY", required = true)
+        private List<String> keys = new ArrayList<>();
+
+        @ParametersDelegate
+        private ChangeOptions change = new ChangeOptions();
+
+        @Override
+        public String name() {
+            return "remove";
+        }
+
+        List<String> keys() {
+            return keys;
+        }
+
+        ChangeOptions change() {
+            return change;
+        }
+    }
+
+    /** Takes a failure domain out of service or brings it back. */
+    @Parameters(commandDescription = "Takes a failure domain out of service or brings it back")
+    final class Domain implements Online {
+        @Parameter(description = "out|back DOMAIN", required = true)
+        private List<String> words = new ArrayList<>();
+
+        @ParametersDelegate
+        private ChangeOptions change = new ChangeOptions();
+
+        @Override
+        public String name() {
+            return "domain";
+        }
+
+        List<String> words() {
+            return words;
+        }
+
+        ChangeOptions change() {
+            return change;
+        }
+    }
+
+    /** Takes a VM out of service or brings it back. */
+    @Parameters(commandDescription = "Takes a VM out of service or brings it back")
+    final class Vm implements Online {
+        @Parameter(description = "out|back VM", required = true)
+        private List<String> words = new ArrayList<>();
+
+        @ParametersDelegate
+        private ChangeOptions change = new ChangeOptions();
+
+        @Override
+        public String name() {
+            return "vm";
+        }
+
+        List<String> words() {
+            return words;
+        }
+
+        ChangeOptions change() {
+            return change;
+        }
+    }
+
+    /** Shows the nodes. */
+    @Parameters(commandDescription = "Shows the nodes and how far each has read the configuration")
+    final class Nodes implements Online {
+        @Override
+        public String name() {
+            return "nodes";
+        }
+    }
+
+    /** Shows the upstreams. */
+    @Parameters(commandDescription = "Shows the upstreams with their load and owners")
+    final class Upstreams implements Online {
+        @Override
+        public String name() {
+            return "upstreams";
+        }
+    }
+
+    /** Shows who owns what. */
+    @Parameters(commandDescription = "Shows which node owns which upstream")
+    final class Ownership implements Online {
+        @Override
+        public String name() {
+            return "ownership";
+        }
+    }
+
+    /** Shows what is in flight. */
+    @Parameters(commandDescription = "Shows the requests in flight at the node")
+    final class Requests implements Online {
+        @Override
+        public String name() {
+            return "requests";
+        }
+    }
+
+    /** Explains one request. */
+    @Parameters(commandDescription = "Shows what the nodes decided about a request, and why")
+    final class Why implements Online {
+        @Parameter(description = "REQUEST", required = true)
+        private List<String> requests = new ArrayList<>();
+
+        @Override
+        public String name() {
+            return "why";
+        }
+
+        List<String> requests() {
+            return requests;
+        }
+    }
+
+    /** Compares what the nodes hold. */
+    @Parameters(commandDescription = "Shows the digest of the configuration of every --node")
+    final class Config implements Online {
+        @Parameter(description = "digest", required = true)
+        private List<String> words = new ArrayList<>();
+
+        @Override
+        public String name() {
+            return "config";
+        }
+
+        List<String> words() {
+            return words;
+        }
+    }
+
+    /** Helps a shell. */
+    @Parameters(commandDescription = "Prints a script that completes commands and long options")
+    final class Completion implements Offline {
+        @Parameter(description = "bash", required = true)
+        private List<String> shells = new ArrayList<>();
+
+        @Override
+        public String name() {
+            return "completion";
+        }
+
+        List<String> shells() {
+            return shells;
+        }
+    }
+}
--- /dev/null
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/FileCommands.java
@@ -0,0 +1,59 @@
+package org.wagtaillug.tool;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import org.wagtaillug.settings.Contracts;
+import org.wagtaillug.settings.NodeSettings;
+import org.wagtaillug.settings.SettingsProblem;
+
+/** The commands that ask no node. */
+final class FileCommands {
+    private static final Pattern KIND = Pattern.compile("(?m)^\\s*[{]?\\s*\"?kind\"?\\s*:");
+
+    private FileCommands() {}
+
+    /** Checks each file as what it is: contracts name their kind, a node's settings have no such field. */
+    static Either<ToolFailure, Result> validate(List<String> names) {
+        List<String> lines = new ArrayList<>();
+        List<SettingsProblem> problems = new ArrayList<>();
+        for (String name : names) {
+            Either<ToolFailure, String> text = ContractFiles.text(name);
+            if (text.isLeft()) {
+                return Either.left(text.getLeft());
+            }
+            Either<List<SettingsProblem>, String> checked = check(text.get(), name);
+            checked.peek(line -> lines.add(name + ": " + line));
+            problems.addAll(checked.swap().getOrElse(List.of()));
+        }
+        ExitCode exitCode = problems.isEmpty() ? ExitCode.OK : ExitCode.FAILED;
+        String errors = problems.isEmpty() ? "" : new ToolFailure.Invalid(problems).message();
+        return Either.right(new Result(String.join("\n", lines), errors, json(problems), exitCode));
+    }
+
+    private static Either<List<SettingsProblem>, String> check(String text, String name) {
+        if (KIND.matcher(text).find()) {
+            return Contracts.parse(text, name).map(bodies -> "valid, " + bodies.size() + " contracts");
+        }
+        return NodeSettings.parse(text, name)
+                .map(settings ->
+                        "valid settings of the node on " + settings.node().vm());
+    }
+
+    private static ObjectNode json(List<SettingsProblem> problems) {
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("valid", problems.isEmpty());
+        ArrayNode list = json.putArray("problems");
+        for (SettingsProblem problem : problems) {
+            ObjectNode entry = list.addObject();
+            entry.put("file", problem.file()).put("line", problem.line()).put("path", problem.path());
+            entry.put("found", problem.found()).put("expected", problem.expected());
+            problem.nearest().ifPresent(nearest -> entry.put("nearest", nearest));
+        }
+        return json;
+    }
+}
--- /dev/null
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/Main.java
@@ -0,0 +1,11 @@
+package org.wagtaillug.tool;
+
+/** Starts {@code wagtaillugctl}. */
+public final class Main {
+    private Main() {}
+
+    /** Runs one command and ends the process with its exit code: 0 ok, 1 failed or refused, 2 wrong usage. */
+    public static void main(String[] arguments) {
+        System.exit(new Tool(Surroundings.ofProcess()).run(arguments));
+    }
+}
