--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/Main.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/Main.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import org.wagtaillug.standin.http.Json;
+import org.wagtaillug.standin.load.LoadCommand;
 import org.wagtaillug.standin.options.CommonOptions;
 import org.wagtaillug.standin.options.EngineOptions;
 import org.wagtaillug.standin.options.LogOptions;
@@ -38,6 +39,7 @@
 
     private static final String PROGRAM = "standin";
     private static final String ALL = "all";
+    private static final String LOAD = "load";
 
     private static final class GlobalOptions {
         @Parameter(names = "--help", help = true, description = "Shows this help")
@@ -57,6 +59,7 @@
     private final PrintStream err;
     private final GlobalOptions global = new GlobalOptions();
     private final AllOptions all = new AllOptions();
+    private final LoadCommand load = new LoadCommand();
     private final Map<StandInKind, CommonOptions> options = new EnumMap<>(StandInKind.class);
     private final JCommander commander;
 
@@ -73,6 +76,7 @@
                 JCommander.newBuilder().programName(PROGRAM).addObject(global).build();
         options.forEach((kind, object) -> commander.addCommand(kind.optionName(), object));
         commander.addCommand(ALL, all);
+        commander.addCommand(LOAD, load);
     }
 
     /** Runs the program and ends the process with its exit code. */
@@ -98,6 +102,9 @@
         if (command.equals(ALL)) {
             return runAll();
         }
+        if (command.equals(LOAD)) {
+            return runLoad();
+        }
         StandInKind kind = StandInKind.of(command);
         CommonOptions chosen = options.get(kind);
         if (chosen.help()) {
@@ -120,6 +127,17 @@
         return serve(() -> StandInProcess.start(layout.get()));
     }
 
+    private int runLoad() {
+        if (load.help()) {
+            return help(commander.getCommands().get(LOAD));
+        }
+        return switch (load.run(out, err)) {
+            case TRUE -> OK;
+            case FAILED -> SOFTWARE;
+            case WRONG_FILE -> USAGE;
+        };
+    }
+
     private interface Start {
         StandInProcess start() throws IOException;
     }
--- /dev/null
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/AnswerCheck.java
@@ -0,0 +1,117 @@
+package org.wagtaillug.standin.load;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import org.wagtaillug.standin.http.Json;
+
+/**
+ * Checks one answer, streamed or not: that it belongs to the request, that token offsets rise by 1 from 0 with none
+ * twice, and that as many came as the end says. Not safe from several threads.
+ */
+final class AnswerCheck {
+    private static final int SERVED = 0;
+
+    private final String request;
+    private int nextToken;
+    private boolean wrongRequest;
+    private boolean gap;
+    private boolean doubled;
+    private JsonNode end;
+
+    AnswerCheck(String request) {
+        this.request = request;
+    }
+
+    /** Takes one event of a stream; tells whether it was a token. */
+    boolean event(String name, String data) {
+        JsonNode node = parse(data);
+        if (name.equals("end")) {
+            end = node;
+            return false;
+        }
+        if (!node.has("token_offset")) {
+            return false;
+        }
+        checkRequest(node);
+        int offset = node.path("token_offset").asInt(-1);
+        if (offset < nextToken) {
+            doubled = true;
+            return true;
+        }
+        gap |= offset > nextToken;
+        nextToken = offset + 1;
+        return true;
+    }
+
+    /** Returns what came of a streamed answer that has ended without a broken connection. */
+    Outcome streamed(boolean inTime) {
+        if (end == null) {
+            return lost("stream without end");
+        }
+        if (end.path("result_code").asInt(SERVED) != SERVED) {
+            return refused(end, "");
+        }
+        if (end.has("request")) {
+            checkRequest(end);
+        }
+        gap |= end.path("tokens").asInt(-1) != nextToken;
+        return whole(inTime);
+    }
+
+    /** Returns what came of an answer in one piece. */
+    Outcome answered(int status, byte[] body, boolean inTime) {
+        JsonNode node = parse(new String(body, StandardCharsets.UTF_8));
+        boolean served = status == 200 && node.path("result_code").asInt(-1) == SERVED;
+        if (!served) {
+            return refused(node, "http-" + status);
+        }
+        checkRequest(node);
+        gap |= !node.hasNonNull("output");
+        return whole(inTime);
+    }
+
+    boolean wrongRequest() {
+        return wrongRequest;
+    }
+
+    /** Tells whether tokens were skipped, or an answer that was called whole is not. */
+    boolean tooShort() {
+        return gap;
+    }
+
+    boolean doubled() {
+        return doubled;
+    }
+
+    private Outcome whole(boolean inTime) {
+        if (wrongRequest) {
+            return lost("another request's answer");
+        }
+        if (gap || doubled) {
+            return lost("not whole");
+        }
+        return new Outcome.Served(inTime);
+    }
+
+    private static Outcome refused(JsonNode node, String withoutCode) {
+        String code = node.has("result_code") ? node.path("result_code").asText() : withoutCode;
+        return new Outcome.Refused(code, node.path("run").asText().equals("not-run"));
+    }
+
+    private static Outcome lost(String reason) {
+        return new Outcome.Lost(reason);
+    }
+
+    private void checkRequest(JsonNode node) {
+        wrongRequest |= !node.path("request").asText("").equals(request);
+    }
+
+    private static JsonNode parse(String text) {
+        try {
+            return Json.mapper().readTree(text);
+        } catch (JsonProcessingException malformed) {
+            return Json.mapper().createObjectNode();
+        }
+    }
+}
--- /dev/null
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Arrival.java
@@ -0,0 +1,12 @@
+package org.wagtaillug.standin.load;
+
+/**
+ * One request that is to be sent.
+ *
+ * @param number its place in the run, from 0
+ * @param atNanos when to send it, from the start
+ * @param customer whose it is
+ * @param kind what it is
+ * @param seed the seed of its input and ids
+ */
+record Arrival(int number, long atNanos, LoadFile.Customer customer, LoadFile.Kind kind, long seed) {}
--- /dev/null
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/DurationReader.java
@@ -0,0 +1,35 @@
+package org.wagtaillug.standin.load;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.deser.std.StdDeserializer;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads a duration as people write it: a whole number and one of {@code ms}, {@code s}, {@code m}, {@code h}. */
+final class DurationReader extends StdDeserializer<Duration> {
+    private static final Pattern FORM = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
+
+    DurationReader() {
+        super(Duration.class);
+    }
+
+    @Override
+    public Duration deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+        String text = parser.getText();
+        Matcher matcher = FORM.matcher(text);
+        if (!matcher.matches()) {
+            return (Duration) context.handleWeirdStringValue(
+                    Duration.class, text, "expected a whole number with ms, s, m or h, for example 250ms");
+        }
+        long count = Long.parseLong(matcher.group(1));
+        return switch (matcher.group(2)) {
+            case "ms" -> Duration.ofMillis(count);
+            case "s" -> Duration.ofSeconds(count);
+            case "m" -> Duration.ofMinutes(count);
+            default -> Duration.ofHours(count);
+        };
+    }
+}
--- /dev/null
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadReport.java
@@ -0,0 +1,88 @@
+package org.wagtaillug.standin.load;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The result of a run.
+ *
+ * @param seed the seed of the arrivals
+ * @param durationMillis for how long it sent
+ * @param offeredPerSecond the mean rate
+ * @param total all requests
+ * @param customers by customer
+ * @param kinds by kind
+ * @param truth answers that were not true
+ * @param nodes how many requests each node was sent
+ * @param sendLagMillis how late requests were sent; a high value means that this machine did not keep up
+ * @param faults the timed calls and what came of them
+ * @param seconds what came of the requests that were due in each second
+ */
+record LoadReport(
+        long seed,
+        long durationMillis,
+        double offeredPerSecond,
+        GroupReport total,
+        Map<String, GroupReport> customers,
+        Map<String, GroupReport> kinds,
+        TruthErrors truth,
+        Map<String, Long> nodes,
+        Percentiles sendLagMillis,
+        List<FaultReport> faults,
+        List<SecondReport> seconds) {
+    /**
+     * A timed call and what came of it.
+     *
+     * @param atMillis when, from the start
+     * @param result the HTTP status, or the failure
+     */
+    record FaultReport(long atMillis, String url, String body, String result) {}
+
+    /** One second of the run. */
+    record SecondReport(int second, long served, long late, long lost, long refused) {}
+
+    /** Returns the report as a table for people. */
+    String table() {
+        StringBuilder table = new StringBuilder();
+        String head = "%-24s %8s %8s %6s %6s %8s %7s %10s %10s %9s %9s %9s %9s%n";
+        table.append(head.formatted(
+                "",
+                "offered",
+                "served",
+                "late",
+                "lost",
+                "refused",
+                "in time",
+                "worth",
+                "of worth",
+                "p50 ms",
+                "p95 ms",
+                "first p95",
+                "gap p95"));
+        row(table, "all", total);
+        customers.forEach((name, group) -> row(table, name, group));
+        kinds.forEach((name, group) -> row(table, name, group));
+        table.append("refused by code: ").append(total.refusedByCode()).append(System.lineSeparator());
+        table.append("lost by reason: ").append(total.lostByReason()).append(System.lineSeparator());
+        table.append("errors of truth: ").append(truth).append(System.lineSeparator());
+        return table.toString();
+    }
+
+    private static void row(StringBuilder table, String name, GroupReport group) {
+        table.append("%-24s %8d %8d %6d %6d %8d %6.2f%% %10.0f %10.0f %9.1f %9.1f %9.1f %9.1f%n"
+                .formatted(
+                        name,
+                        group.offered(),
+                        group.served(),
+                        group.late(),
+                        group.lost(),
+                        group.refused(),
+                        group.attainment() * 100,
+                        group.worthServed(),
+                        group.worthOffered(),
+                        group.wholeMillis().p50(),
+                        group.wholeMillis().p95(),
+                        group.firstTokenMillis().p95(),
+                        group.betweenTokensMillis().p95()));
+    }
+}
--- /dev/null
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
@@ -0,0 +1,172 @@
+package org.wagtaillug.standin.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.URI;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.wagtaillug.standin.http.Json;
+
+/** One run of the load: one thread sends at the fixed times, others follow the answers. */
+final class LoadRun implements AutoCloseable {
+    private static final int THREADS = 64;
+    private static final int CONNECTIONS_PER_NODE = 4_096;
+    private static final int QUEUED_PER_NODE = 16_384;
+    private static final long IDLE_MILLIS = 5_000;
+    private static final long PROBE_MILLIS = 250;
+    private static final long READY_WITHIN_MILLIS = 30_000;
+    private static final long LEDGER_TIMEOUT_MILLIS = 10_000;
+
+    private final LoadFile file;
+    private final List<Arrival> arrivals;
+    private final Recorder recorder;
+    private final CountDownLatch left;
+    private final HttpClient client = new HttpClient();
+    private final Balancer balancer;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(task -> {
+        Thread thread = new Thread(task, "load-timer");
+        thread.setDaemon(true);
+        return thread;
+    });
+
+    LoadRun(LoadFile file, long seed) {
+        this.file = file;
+        this.arrivals = Schedule.arrivals(file, seed);
+        this.recorder = new Recorder(file, seed);
+        this.left = new CountDownLatch(arrivals.size());
+        this.balancer = new Balancer(client, file.nodes());
+    }
+
+    /**
+     * Sends all requests and waits for their ends.
+     *
+     * @return the report, or why there is none
+     */
+    Either<String, LoadReport> run() throws Exception {
+        startClient();
+        timer.scheduleWithFixedDelay(balancer::probe, 0, PROBE_MILLIS, TimeUnit.MILLISECONDS);
+        if (!awaitReady()) {
+            return Either.left(
+                    "no node is ready: " + file.nodes() + ", expected one within " + READY_WITHIN_MILLIS + " ms");
+        }
+        long start = System.nanoTime();
+        scheduleFaults();
+        for (Arrival arrival : arrivals) {
+            long due = start + arrival.atNanos();
+            parkUntil(due);
+            long now = System.nanoTime();
+            recorder.sent(now - due);
+            Call.Due dueAt = new Call.Due(due, System.currentTimeMillis());
+            new Call(client, balancer, recorder, arrival, call -> left.countDown(), dueAt).send(now);
+        }
+        if (!left.await(longestAnswerMillis(), TimeUnit.MILLISECONDS)) {
+            return Either.left(left.getCount() + " requests never came to an end");
+        }
+        return executions().map(recorder::report);
+    }
+
+    @Override
+    public void close() throws IOException {
+        timer.shutdownNow();
+        try {
+            client.stop();
+        } catch (Exception failure) {
+            throw new IOException("the client does not stop", failure);
+        }
+    }
+
+    private void startClient() throws Exception {
+        QueuedThreadPool threads = new QueuedThreadPool(THREADS);
+        threads.setName("load");
+        threads.setDaemon(true);
+        client.setExecutor(threads);
+        client.setMaxConnectionsPerDestination(CONNECTIONS_PER_NODE);
+        client.setMaxRequestsQueuedPerDestination(QUEUED_PER_NODE);
+        client.setIdleTimeout(IDLE_MILLIS);
+        client.setFollowRedirects(false);
+        client.start();
+    }
+
+    private boolean awaitReady() {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_WITHIN_MILLIS);
+        while (!balancer.anyReady()) {
+            if (System.nanoTime() > end) {
+                return false;
+            }
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+        return true;
+    }
+
+    private static void parkUntil(long due) {
+        long wait = due - System.nanoTime();
+        while (wait > 0) {
+            LockSupport.parkNanos(wait);
+            wait = due - System.nanoTime();
+        }
+    }
+
+    private long longestAnswerMillis() {
+        long longest = 0;
+        for (LoadFile.Kind kind : file.kinds()) {
+            longest = Math.max(longest, kind.deadline().toMillis());
+        }
+        int sendings = file.nodes().size() + 1;
+        return sendings * (longest + Call.GRACE_MILLIS);
+    }
+
+    private void scheduleFaults() {
+        for (LoadFile.TimedCall fault : file.faults()) {
+            timer.schedule(() -> call(fault), fault.at().toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void call(LoadFile.TimedCall fault) {
+        String body = Json.text(fault.body());
+        client.newRequest(fault.url())
+                .method(fault.method())
+                .body(new StringRequestContent("application/json", body))
+                .send(result -> {
+                    String came = result.isSucceeded()
+                            ? Integer.toString(result.getResponse().getStatus())
+                            : String.valueOf(result.getFailure().getMessage());
+                    recorder.fault(new LoadReport.FaultReport(
+                            fault.at().toMillis(), fault.url().toString(), body, came));
+                });
+    }
+
+    private Either<String, Map<String, Integer>> executions() throws InterruptedException {
+        Map<String, Integer> executions = new HashMap<>();
+        for (URI ledger : file.ledgers()) {
+            try {
+                ContentResponse response = client.newRequest(ledger.resolve("/executions"))
+                        .timeout(LEDGER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                        .send();
+                if (response.getStatus() != HttpStatus.OK_200) {
+                    return Either.left(ledger + ": answered " + response.getStatus() + ", expected its executions");
+                }
+                JsonNode read = Json.mapper().readTree(response.getContent()).path("executions");
+                read.properties()
+                        .forEach(entry -> executions.merge(
+                                entry.getKey(), entry.getValue().asInt(), Integer::sum));
+            } catch (ExecutionException | TimeoutException | IOException failure) {
+                return Either.left(ledger + ": its executions cannot be read: " + failure.getMessage());
+            }
+        }
+        return Either.right(executions);
+    }
+}
--- /dev/null
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
@@ -0,0 +1,175 @@
+package org.wagtaillug.standin.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.beust.jcommander.JCommander;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.UUID;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtaillug.standin.http.Json;
+
+class LoadRunTest {
+    @TempDir
+    private Path folder;
+
+    private static String kind(String template, boolean stream, String more) {
+        return "  - {name: " + template + "-kind, template: " + template + ", share: 1, worth: 2, stream: " + stream
+                + ", deadline: 30s" + more + "}\n";
+    }
+
+    private LoadFile file(String nodes, String kinds, String more) throws IOException {
+        String text = "nodes: [" + nodes + "]\nduration: 500ms\nrate: 100\ncustomers: [{name: c, share: 1}]\n" + more
+                + "kinds:\n" + kinds;
+        Path file = Files.writeString(folder.resolve("load.yaml"), text);
+        return LoadFile.read(file).getOrElseThrow(problem -> new AssertionError(problem));
+    }
+
+    private static LoadReport run(LoadFile file) throws Exception {
+        try (LoadRun run = new LoadRun(file, 1)) {
+            return run.run().getOrElseThrow(problem -> new AssertionError(problem));
+        }
+    }
+
+    private static int closedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Test
+    void sendsWhatIsScheduledAndCountsEachOnce() throws Exception {
+        try (FakeNode node = FakeNode.start(true)) {
+            LoadFile file = file(
+                    node.url(),
+                    kind("ask", false, "") + kind("draft", true, ", max_tokens: 3"),
+                    "faults: [{at: 1ms, url: \"" + node.url() + "/faults\", body: {fault: none}}]\n");
+            LoadReport report = run(file);
+            int scheduled = Schedule.arrivals(file, 1).size();
+            GroupReport total = report.total();
+            assertThat(total.offered()).isEqualTo(scheduled).isEqualTo(node.requests.size());
+            assertThat(total.served()).isEqualTo(scheduled);
+            assertThat(total.worthServed()).isEqualTo(2.0 * scheduled);
+            GroupReport drafts = report.kinds().get("draft-kind");
+            assertThat(drafts.firstTokenMillis().count()).isEqualTo(drafts.offered());
+            assertThat(drafts.betweenTokensMillis().count()).isEqualTo(2 * drafts.offered());
+            assertThat(report.customers().get("c").offered()).isEqualTo(scheduled);
+            assertThat(report.truth().sum()).isZero();
+            assertThat(report.faults()).singleElement().extracting("result").isEqualTo("200");
+            assertThat(report.nodes()).containsEntry(node.url(), (long) scheduled);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "refuse, false, 0, 1, refused, 201",
+        "another, false, 1, 0, lost, another request's answer",
+        "lose, false, 0, 0, lost, connection broken",
+        "short, true, 1, 0, lost, not whole",
+        "double, true, 1, 0, lost, not whole",
+        "endless, true, 0, 0, lost, stream without end",
+    })
+    void tellsApartWhatCameOfARequest(
+            String template, boolean stream, int untrue, int refused, String group, String reason) throws Exception {
+        try (FakeNode node = FakeNode.start(true)) {
+            LoadReport report = run(file(node.url(), kind(template, stream, ""), ""));
+            GroupReport total = report.total();
+            assertThat(total.served()).isZero();
+            assertThat(total.refused()).isEqualTo(refused * total.offered());
+            assertThat(total.lost()).isEqualTo((1 - refused) * total.offered());
+            assertThat(report.truth().sum()).isEqualTo(untrue * total.offered());
+            assertThat(group.equals("lost") ? total.lostByReason() : total.refusedByCode())
+                    .containsOnlyKeys(reason);
+        }
+    }
+
+    /**
+     * A node takes the request and never answers. The caller gives up after its deadline; the request counts as lost,
+     * and the run comes to its end.
+     */
+    @Test
+    void givesUpARequestThatIsNeverAnswered() throws Exception {
+        try (FakeNode node = FakeNode.start(true)) {
+            GroupReport total = run(file(node.url(), kind("never", false, "").replace("30s", "1ms"), ""))
+                    .total();
+            assertThat(total.lostByReason()).containsOnlyKeys("no answer");
+            assertThat(total.lost()).isEqualTo(total.offered());
+        }
+    }
+
+    @Test
+    void skipsANodeThatIsNotReadyOrGone() throws Exception {
+        try (FakeNode node = FakeNode.start(true);
+                FakeNode starting = FakeNode.start(false)) {
+            String gone = "http://127.0.0.1:" + closedPort();
+            LoadReport report = run(file(node.url() + ", " + starting.url() + ", " + gone, kind("ask", false, ""), ""));
+            assertThat(report.total().served()).isEqualTo(report.total().offered());
+            assertThat(report.nodes()).containsOnlyKeys(node.url());
+        }
+    }
+
+    /**
+     * A booking runs twice under one key, or a refusal says not run though it ran. Callers cannot see either; only the
+     * ledgers behind the system do.
+     */
+    @Test
+    void findsDoubleRunsAndFalseRefusalsInTheLedgers() throws Exception {
+        try (FakeNode node = FakeNode.start(true)) {
+            String ledgers = "ledgers: [" + node.url() + "]\n";
+            String once = ", idempotency_key: true";
+            assertThat(run(file(node.url(), kind("book", false, once), ledgers))
+                            .truth()
+                            .sum())
+                    .isZero();
+            LoadReport refused = run(file(node.url(), kind("refuse", false, once), ledgers));
+            assertThat(refused.truth().falseNotRun()).isEqualTo(refused.total().offered());
+            node.executionsOfEachKey.set(2);
+            LoadReport doubled = run(file(node.url(), kind("book", false, once), ledgers));
+            assertThat(doubled.truth().doubleRuns()).isEqualTo(doubled.total().offered());
+            node.executionsOfEachKey.set(0);
+            LoadReport missing = run(file(node.url(), kind("book", false, once), ledgers));
+            assertThat(missing.truth().servedNotRun()).isEqualTo(missing.total().offered());
+            assertThat(node.keys)
+                    .allSatisfy(
+                            key -> assertThat(UUID.fromString(key).version()).isEqualTo(7));
+        }
+    }
+
+    @Test
+    void theCommandWritesReportAndPlot() throws Exception {
+        try (FakeNode node = FakeNode.start(true)) {
+            file(node.url(), kind("ask", false, ""), "");
+            ByteArrayOutputStream out = new ByteArrayOutputStream();
+            Path report = folder.resolve("report.json");
+            Path plot = folder.resolve("plot.png");
+            String[] arguments = {
+                "--file",
+                folder.resolve("load.yaml").toString(),
+                "--report",
+                report.toString(),
+                "--plot",
+                plot.toString()
+            };
+            LoadCommand command = new LoadCommand();
+            JCommander.newBuilder().addObject(command).build().parse(arguments);
+            assertThat(command.run(new PrintStream(out, true), System.err)).isEqualTo(LoadCommand.End.TRUE);
+            assertThat(out.toString(StandardCharsets.UTF_8)).contains("ask-kind", "errors of truth");
+            assertThat(Json.mapper()
+                            .readTree(Files.readAllBytes(report))
+                            .path("total")
+                            .path("served")
+                            .asInt())
+                    .isPositive();
+            assertThat(Files.readAllBytes(plot)).startsWith(0x89, 'P', 'N', 'G');
+        }
+    }
+}
