--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -16,6 +16,7 @@
 import org.wagtaillug.contract.CustomerContract;
 import org.wagtaillug.contract.Stage;
 import org.wagtaillug.contract.StageWork;
+import org.wagtaillug.grant.Finish;
 import org.wagtaillug.id.AttemptId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
@@ -30,7 +31,6 @@
 import org.wagtaillug.result.RunState;
 import org.wagtaillug.retry.AttemptBudget;
 import org.wagtaillug.routing.Choice;
-import org.wagtaillug.routing.Finish;
 import org.wagtaillug.routing.RoutingPolicy;
 import org.wagtaillug.routing.Upstreams;
 
@@ -477,14 +477,19 @@
         for (LiveAttempt live : List.copyOf(attempts.values())) {
             checkAttempt(live, now, effects);
         }
-        for (PoolId pool : List.copyOf(queues.keySet())) {
-            pump(pool, now, effects);
-        }
+        onRoom(now, effects);
         for (Map.Entry<PoolId, Integer> demand : demands().entrySet()) {
             upstreams.want(demand.getKey(), demand.getValue());
         }
     }
 
+    /** Starts what waits, after the right to use more upstreams came. */
+    public void onRoom(Instant now, Effects effects) {
+        for (PoolId pool : List.copyOf(queues.keySet())) {
+            pump(pool, now, effects);
+        }
+    }
+
     private Map<PoolId, Integer> demands() {
         Map<PoolId, Integer> demands = new HashMap<>();
         for (Map.Entry<PoolId, WaitingQueue> entry : queues.entrySet()) {
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/drain/package-info.java
@@ -0,0 +1,2 @@
+/** Ending a node without cutting a request. */
+package org.wagtaillug.drain;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/health/UpstreamHealth.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/health/UpstreamHealth.java
@@ -82,6 +82,12 @@
         }
     }
 
+    /** Takes in the end of an attempt that says nothing of the upstream: it was given up here. */
+    public void onCancelled(VmId upstream) {
+        Experience experience = experience(upstream);
+        experience.inFlight = Math.max(0, experience.inFlight - 1);
+    }
+
     private static Duration blend(Duration before, Duration newest) {
         double nanos = before.toNanos() * (1 - NEWEST_WEIGHT) + newest.toNanos() * NEWEST_WEIGHT;
         return Duration.ofNanos(Math.round(nanos));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
@@ -9,6 +9,7 @@
 import org.wagtaillug.configuration.ControlLog;
 import org.wagtaillug.configuration.ControlState;
 import org.wagtaillug.configuration.RosterListener;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.log.LogRecord.NodeAddress;
@@ -291,6 +292,39 @@
         return entry.appendEnded(append);
     }
 
+    /** The other members of the roster, as this node knows them. */
+    public List<PeerView> peers(Instant now) {
+        List<PeerView> peers = new ArrayList<>();
+        for (StateMember member : state.members()) {
+            if (!member.node().equals(self)) {
+                peers.add(peer(member, now));
+            }
+        }
+        return peers;
+    }
+
+    private PeerView peer(StateMember member, Instant now) {
+        Optional<Watch> watch = watches.of(member.node().vm());
+        if (watch.isEmpty()) {
+            return PeerView.unwatched(member.node(), member.address().domain());
+        }
+        Optional<ProbeReply> last = watch.get().last();
+        return new PeerView(
+                member.node(),
+                member.address().domain(),
+                true,
+                watch.get().heard(now),
+                Optional.of(watch.get().silence(now)),
+                last.map(reply -> reply.position().through()).orElse(0L),
+                last.map(ProbeReply::logReachable).orElse(false),
+                last.map(ProbeReply::ready).orElse(false));
+    }
+
+    /** This node's failure domain. */
+    public DomainId domain() {
+        return log.address().domain();
+    }
+
     /** Leaves the roster for good: grants nothing from now on, and does not join again. */
     public void leave(Instant now, Effects effects) {
         entry.leave(now, effects);
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/ClaimedOnce.java
@@ -0,0 +1,30 @@
+package org.wagtaillug.node;
+
+import java.time.Instant;
+import org.wagtaillug.claim.Claims;
+import org.wagtaillug.dispatch.OnceOnly;
+import org.wagtaillug.id.IdempotencyKey;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.result.Payload;
+import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.result.RunState;
+
+/** Hands the dispatcher's questions about keys to the claims. */
+record ClaimedOnce(Claims claims) implements OnceOnly {
+    @Override
+    public void ask(
+            RequestId request, IdempotencyKey key, String bodyDigest, Instant deadline, Instant now, Effects effects) {
+        claims.ask(request, key, bodyDigest, deadline, now, effects);
+    }
+
+    @Override
+    public void settled(
+            RequestId request, ResultCode code, RunState run, Payload output, Instant now, Effects effects) {
+        claims.settled(request, code, run, output, now, effects);
+    }
+
+    @Override
+    public void abandon(RequestId request, Instant now, Effects effects) {
+        claims.abandon(request, now, effects);
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/GrantedUpstreams.java
@@ -0,0 +1,131 @@
+package org.wagtaillug.node;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.wagtaillug.grant.Finish;
+import org.wagtaillug.grant.GrantHolder;
+import org.wagtaillug.health.FirstProgress;
+import org.wagtaillug.health.LoadReport;
+import org.wagtaillug.health.UpstreamHealth;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Vm;
+import org.wagtaillug.routing.Upstreams;
+
+/** The upstreams as the current policy sees them: used only within allowances. */
+final class GrantedUpstreams implements Upstreams {
+    private static final double STALL_QUANTILE = 0.99;
+    private static final Duration UNSEEN_TAIL = Duration.ofSeconds(2);
+
+    private final VmDirectory directory;
+    private final GrantHolder holder;
+    private final UpstreamHealth health;
+    private final FirstProgress firstProgress = new FirstProgress();
+
+    GrantedUpstreams(VmDirectory directory, GrantHolder holder, UpstreamHealth health) {
+        this.directory = directory;
+        this.holder = holder;
+        this.health = health;
+    }
+
+    @Override
+    public List<Vm> inPool(PoolId pool) {
+        return directory.inPool(pool);
+    }
+
+    @Override
+    public boolean inService(VmId upstream) {
+        return directory.find(upstream).map(directory::mayTakeWork).orElse(false);
+    }
+
+    @Override
+    public int available(VmId upstream, Instant now) {
+        return holder.available(upstream, now);
+    }
+
+    @Override
+    public boolean start(VmId upstream, Instant now) {
+        if (!holder.start(upstream, now)) {
+            return false;
+        }
+        health.onStarted(upstream, now);
+        return true;
+    }
+
+    @Override
+    public Instant startBefore(VmId upstream, Instant now) {
+        return holder.startBefore(upstream, now);
+    }
+
+    @Override
+    public void progressed(VmId upstream, Duration sinceStart, Instant now) {
+        health.onProgress(upstream, now);
+        directory.find(upstream).flatMap(Vm::pool).ifPresent(pool -> firstProgress.add(pool, sinceStart));
+    }
+
+    @Override
+    public void finished(VmId upstream, Finish finish, Duration took, Instant now) {
+        holder.finished(upstream, finish, now);
+        Optional<Vm> vm = directory.find(upstream);
+        if (vm.isEmpty()) {
+            return;
+        }
+        switch (finish) {
+            case SUCCEEDED -> health.onEnded(vm.get(), took, true, now);
+            case FAILED, OVERLOADED -> health.onEnded(vm.get(), took, false, now);
+            case CANCELLED -> health.onCancelled(upstream);
+        }
+    }
+
+    @Override
+    public void want(PoolId pool, int attempts) {
+        holder.want(pool, attempts);
+    }
+
+    @Override
+    public boolean usable(VmId upstream, Instant now) {
+        return health.usable(upstream, now);
+    }
+
+    @Override
+    public boolean cold(VmId upstream) {
+        return holder.cold(upstream);
+    }
+
+    @Override
+    public int inFlight(VmId upstream) {
+        return health.inFlight(upstream);
+    }
+
+    @Override
+    public Optional<LoadReport> report(VmId upstream) {
+        return holder.report(upstream);
+    }
+
+    @Override
+    public Optional<Duration> expected(VmId upstream) {
+        return health.expected(upstream);
+    }
+
+    @Override
+    public Optional<Duration> quantile(PoolId pool, double share) {
+        return health.tail(pool, share);
+    }
+
+    @Override
+    public Optional<Duration> firstProgressQuantile(PoolId pool, double share) {
+        return firstProgress.quantile(pool, share);
+    }
+
+    @Override
+    public boolean stalled(VmId upstream, Instant startedAt, Instant lastProgress, Instant now) {
+        Duration tail = directory
+                .find(upstream)
+                .flatMap(Vm::pool)
+                .flatMap(pool -> firstProgress.quantile(pool, STALL_QUANTILE))
+                .orElse(UNSEEN_TAIL);
+        return UpstreamHealth.stalled(startedAt, Optional.of(lastProgress), Optional.of(tail), now);
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
@@ -3,16 +3,287 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
+import org.wagtaillug.claim.Claims;
+import org.wagtaillug.claim.Verdict;
+import org.wagtaillug.configuration.ControlLog;
+import org.wagtaillug.configuration.ControlState;
+import org.wagtaillug.dispatch.Dispatcher;
+import org.wagtaillug.dispatch.Request;
+import org.wagtaillug.drain.Drain;
+import org.wagtaillug.grant.GrantHolder;
+import org.wagtaillug.grant.GrantOwner;
+import org.wagtaillug.grant.GrantView;
+import org.wagtaillug.health.LoadReport;
+import org.wagtaillug.health.UpstreamHealth;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.log.LogStream;
+import org.wagtaillug.membership.Members;
+import org.wagtaillug.membership.Standing;
+import org.wagtaillug.membership.Vm;
+import org.wagtaillug.message.PeerMessage;
+import org.wagtaillug.placement.Placement;
+import org.wagtaillug.result.Refusal;
+import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.routing.LeastCompletionPolicy;
+import org.wagtaillug.routing.RoundRobinPolicy;
+import org.wagtaillug.routing.RoutingPolicy;
+import org.wagtaillug.routing.Upstreams;
 
-/** One node: every decision, driven by events. */
+/**
+ * One node: every decision, driven by events. All of it is used from one thread.
+ *
+ * <pre>{@code
+ * List<Effect> effects = node.handle(new Event.RequestArrived(request), now);
+ * }</pre>
+ */
 public final class Node {
     /** How often a frame sends {@link Event.Tick} at least. */
     public static final Duration TICK = Duration.ofMillis(50);
 
+    private static final Duration VM_LIST_PERIOD = Duration.ofMillis(500);
+    private static final Duration COME_BACK = Duration.ofSeconds(1);
+
     private final Effects effects = new Effects();
+    private final ControlState state;
+    private final ControlLog controlLog;
+    private final Members members;
+    private final VmDirectory directory;
+    private final UpstreamHealth health = new UpstreamHealth();
+    private final GrantOwner grantOwner;
+    private final GrantHolder grantHolder;
+    private final Placement placement;
+    private final Claims claims;
+    private final Dispatcher dispatcher;
+    private final Drain drain = new Drain();
+
+    private Instant vmListDue = Instant.EPOCH;
+    private Optional<Boolean> saidReady = Optional.empty();
+    private boolean finished;
+
+    /** A node that knows nothing yet. */
+    public Node(NodeSetup setup) {
+        state = new ControlState();
+        controlLog = ControlLog.builder(setup.self(), setup.address(), state).build();
+        members = new Members(controlLog, setup.seeds());
+        directory = new VmDirectory(state);
+        grantOwner = new GrantOwner(members, state);
+        grantHolder = new GrantHolder(members, state, grantOwner);
+        placement = new Placement(members, state);
+        claims = Claims.builder(setup.self()).retention(setup.retention()).build();
+        Upstreams upstreams = setup.naive()
+                ? new UngrantedUpstreams(directory)
+                : new GrantedUpstreams(directory, grantHolder, health);
+        RoutingPolicy policy = setup.naive()
+                ? new RoundRobinPolicy(upstreams)
+                : new LeastCompletionPolicy(upstreams, setup.address().domain());
+        dispatcher = new Dispatcher(setup.limits(), state, upstreams, policy, new ClaimedOnce(claims));
+    }
 
-    /** Takes in one event and gives what has to be done. */
+    /** Takes in one event and gives what has to be done, in order. */
     public List<Effect> handle(Event event, Instant now) {
+        switch (event) {
+            case Event.Tick ignored -> onTick(now);
+            case Event.RequestArrived arrived -> onRequest(arrived.request(), now);
+            case Event.CallerLeft left -> dispatcher.onCallerLeft(left.request(), now, effects);
+            case Event.AttemptProgressed progressed -> dispatcher.onProgress(progressed.attempt(), now);
+            case Event.AttemptEnded ended -> dispatcher.onEnded(ended.attempt(), ended.end(), now, effects);
+            case Event.PeerMessageReceived received -> onPeerMessage(received, now);
+            case Event.LogRead read -> onLogRead(read, now);
+            case Event.LogReadFailed failed -> onLogReadFailed(failed.stream(), now);
+            case Event.LogAppended appended -> onAppended(appended, now);
+            case Event.LogAppendFailed failed -> onAppendFailed(failed, now);
+            case Event.VmListRead read -> onVmList(read.vms(), now);
+            case Event.LoadReported reported -> onLoad(reported, now);
+            case Event.LoadMissing missing -> grantOwner.onLoadMissing(missing.upstream(), now, effects);
+            case Event.ChangeSubmitted submitted -> controlLog.submit(submitted.change(), now, effects);
+            case Event.OrderEnded ended -> placement.onOrderEnded(ended.upstream(), ended.accepted(), now, effects);
+            case Event.DrainStarted ignored -> drain.start(now);
+        }
+        takeVerdicts(now);
+        tellReadiness(now);
         return effects.drain();
     }
+
+    private void onTick(Instant now) {
+        controlLog.onTick(now, effects);
+        members.onTick(now, effects);
+        claims.onTick(now, effects);
+        readVmList(now);
+        grantOwner.onTick(now, effects);
+        dispatcher.onTick(now, effects);
+        grantHolder.onTick(now, effects);
+        placement.onTick(now, effects);
+        drain(now);
+    }
+
+    private void readVmList(Instant now) {
+        if (now.isBefore(vmListDue)) {
+            return;
+        }
+        vmListDue = now.plus(VM_LIST_PERIOD);
+        effects.add(new Effect.ReadVmList());
+    }
+
+    private void onRequest(Request request, Instant now) {
+        Optional<Refusal> closed = closed(now);
+        if (closed.isPresent()) {
+            effects.add(new Effect.AnswerRefused(request.id(), 0, closed.get()));
+            return;
+        }
+        dispatcher.onRequest(request, now, effects);
+    }
+
+    /** Why no request is taken at all; empty while they are. */
+    private Optional<Refusal> closed(Instant now) {
+        if (drain.refuses(now)) {
+            return closed(ResultCode.SHUTTING_DOWN, "the node is shutting down; ask another");
+        }
+        if (!controlLog.complete() || !directory.read()) {
+            return closed(ResultCode.NOT_READY, "the node does not hold the whole configuration yet");
+        }
+        if (members.standing(now) == Standing.CUT_OFF) {
+            return closed(ResultCode.NODE_CUT_OFF, "the node cannot learn of changes; ask another");
+        }
+        return Optional.empty();
+    }
+
+    private static Optional<Refusal> closed(ResultCode code, String message) {
+        return Optional.of(Refusal.notRun(code, COME_BACK, message));
+    }
+
+    private void onPeerMessage(Event.PeerMessageReceived received, Instant now) {
+        switch (received.message()) {
+            case PeerMessage.GrantAsk ask -> grantOwner.onAsk(received.sender(), ask, now, effects);
+            case PeerMessage.GrantReply reply -> {
+                grantHolder.onReply(received.sender(), reply, now, effects);
+                dispatcher.onRoom(now, effects);
+            }
+            case PeerMessage.Probe probe -> members.onPeerMessage(received.sender(), probe, now, effects);
+            case PeerMessage.ProbeReply reply -> members.onPeerMessage(received.sender(), reply, now, effects);
+            case PeerMessage.StateAsk ask -> members.onPeerMessage(received.sender(), ask, now, effects);
+            case PeerMessage.StateReply reply -> members.onPeerMessage(received.sender(), reply, now, effects);
+        }
+    }
+
+    private void onLogRead(Event.LogRead read, Instant now) {
+        switch (read.stream()) {
+            case CONTROL -> controlLog.onLogRead(read.askedAt(), read.batch(), now, effects);
+            case CLAIMS -> claims.onLogRead(read.askedAt(), read.batch(), now, effects);
+        }
+    }
+
+    private void onLogReadFailed(LogStream stream, Instant now) {
+        switch (stream) {
+            case CONTROL -> controlLog.onLogReadFailed(now, effects);
+            case CLAIMS -> claims.onLogReadFailed(now, effects);
+        }
+    }
+
+    private void onAppended(Event.LogAppended appended, Instant now) {
+        boolean taken = controlLog.onAppended(appended.append(), appended.offset(), now, effects)
+                || members.onAppended(appended.append(), appended.offset(), now, effects);
+        if (!taken) {
+            claims.onAppended(appended.append(), appended.offset(), now, effects);
+        }
+    }
+
+    private void onAppendFailed(Event.LogAppendFailed failed, Instant now) {
+        boolean taken = controlLog.onAppendFailed(failed.append(), failed.mayTakeEffect(), now, effects)
+                || members.onAppendFailed(failed.append(), failed.mayTakeEffect(), now, effects);
+        if (!taken) {
+            claims.onAppendFailed(failed.append(), failed.mayTakeEffect(), now, effects);
+        }
+    }
+
+    private void onVmList(List<Vm> vms, Instant now) {
+        directory.replace(vms);
+        members.onVmList(vms, now);
+        grantOwner.onVmList(vms, now);
+        grantHolder.onVmList(vms, now);
+        placement.onVmList(vms, now);
+    }
+
+    private void onLoad(Event.LoadReported reported, Instant now) {
+        grantOwner.onLoadReport(reported.upstream(), reported.report(), now, effects);
+        placement.onLoadReport(reported.upstream(), reported.report(), now);
+    }
+
+    private void takeVerdicts(Instant now) {
+        for (Verdict verdict : claims.verdicts()) {
+            switch (verdict) {
+                case Verdict.Won won -> dispatcher.onClaimWon(won.request(), now, effects);
+                case Verdict.Recorded recorded ->
+                    dispatcher.onClaimRecorded(
+                            recorded.request(), recorded.code(), recorded.run(), recorded.output(), now, effects);
+                case Verdict.Refused refused ->
+                    dispatcher.onClaimRefused(refused.request(), refused.refusal(), now, effects);
+            }
+        }
+    }
+
+    private void tellReadiness(Instant now) {
+        boolean ready = closed(now).isEmpty() && !drain.started();
+        members.ready(ready);
+        if (saidReady.isPresent() && saidReady.get() == ready) {
+            return;
+        }
+        saidReady = Optional.of(ready);
+        String reason = drain.started() ? "draining" : members.standing(now).toString();
+        effects.add(new Effect.ReadinessChanged(ready, reason));
+    }
+
+    private void drain(Instant now) {
+        boolean idle = dispatcher.idle() && claims.idle();
+        boolean departed = !state.isMember(members.self());
+        switch (drain.step(idle, departed, now)) {
+            case LEAVE -> members.leave(now, effects);
+            case FINISHED -> finish();
+            case SERVING, LEAVING_BALANCER, FINISHING -> {
+                // Nothing to do but to go on.
+            }
+        }
+    }
+
+    private void finish() {
+        if (!finished) {
+            finished = true;
+            effects.add(new Effect.DrainFinished());
+        }
+    }
+
+    /** The control state in force here. */
+    public ControlState state() {
+        return state;
+    }
+
+    /** Who else there is, and how far each has read. */
+    public Members members() {
+        return members;
+    }
+
+    /** The upstreams that the platform lists. */
+    public List<Vm> upstreams() {
+        return directory.upstreams();
+    }
+
+    /** One upstream that the platform lists. */
+    public Optional<Vm> upstream(VmId id) {
+        return directory.find(id);
+    }
+
+    /** The newest load report of an upstream that this node knows. */
+    public Optional<LoadReport> report(VmId id) {
+        return grantHolder.report(id);
+    }
+
+    /** How the grants of the upstreams stand. */
+    public List<GrantView> grants(Instant now) {
+        return grantHolder.view(now);
+    }
+
+    /** The requests in flight. */
+    public List<Dispatcher.FlowView> requests(Instant now) {
+        return dispatcher.views(now);
+    }
 }
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/UngrantedUpstreams.java
@@ -0,0 +1,107 @@
+package org.wagtaillug.node;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wagtaillug.grant.Finish;
+import org.wagtaillug.health.LoadReport;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Vm;
+import org.wagtaillug.routing.Upstreams;
+
+/** The upstreams as the baseline sees them: whatever is listed may be used, and nothing is remembered. */
+final class UngrantedUpstreams implements Upstreams {
+    private static final Duration START_WITHIN = Duration.ofSeconds(10);
+
+    private final VmDirectory directory;
+    private final Map<VmId, Integer> inFlight = new HashMap<>();
+
+    UngrantedUpstreams(VmDirectory directory) {
+        this.directory = directory;
+    }
+
+    @Override
+    public List<Vm> inPool(PoolId pool) {
+        return directory.inPool(pool);
+    }
+
+    @Override
+    public boolean inService(VmId upstream) {
+        return directory.find(upstream).map(directory::mayTakeWork).orElse(false);
+    }
+
+    @Override
+    public int available(VmId upstream, Instant now) {
+        return Integer.MAX_VALUE;
+    }
+
+    @Override
+    public boolean start(VmId upstream, Instant now) {
+        inFlight.merge(upstream, 1, Integer::sum);
+        return true;
+    }
+
+    @Override
+    public Instant startBefore(VmId upstream, Instant now) {
+        return now.plus(START_WITHIN);
+    }
+
+    @Override
+    public void progressed(VmId upstream, Duration sinceStart, Instant now) {
+        // The baseline does not look at progress.
+    }
+
+    @Override
+    public void finished(VmId upstream, Finish finish, Duration took, Instant now) {
+        inFlight.merge(upstream, -1, Integer::sum);
+    }
+
+    @Override
+    public void want(PoolId pool, int attempts) {
+        // The baseline needs nobody's leave.
+    }
+
+    @Override
+    public boolean usable(VmId upstream, Instant now) {
+        return true;
+    }
+
+    @Override
+    public boolean cold(VmId upstream) {
+        return false;
+    }
+
+    @Override
+    public int inFlight(VmId upstream) {
+        return inFlight.getOrDefault(upstream, 0);
+    }
+
+    @Override
+    public Optional<LoadReport> report(VmId upstream) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Duration> expected(VmId upstream) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Duration> quantile(PoolId pool, double share) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<Duration> firstProgressQuantile(PoolId pool, double share) {
+        return Optional.empty();
+    }
+
+    @Override
+    public boolean stalled(VmId upstream, Instant startedAt, Instant lastProgress, Instant now) {
+        return false;
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/LeastCompletionPolicy.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/LeastCompletionPolicy.java
@@ -57,7 +57,7 @@
         Optional<VmId> home = prefixHome(stage, prefix, pool);
         Duration unseen = upstreams.quantile(stage.pool(), 0.5).orElse(UNSEEN_WORK);
         for (Vm vm : pool) {
-            String obstacle = obstacle(vm, excluded, now);
+            String obstacle = obstacle(vm, stage, excluded, now);
             if (!obstacle.isEmpty()) {
                 note(alternatives, vm, obstacle);
                 continue;
@@ -79,19 +79,31 @@
         return new Choice(Optional.of(best), "expected " + millis(bestScore), alternatives);
     }
 
-    private String obstacle(Vm vm, Set<VmId> excluded, Instant now) {
+    private String obstacle(Vm vm, Stage stage, Set<VmId> excluded, Instant now) {
         if (excluded.contains(vm.id())) {
             return "tried before";
         }
         if (!upstreams.usable(vm.id(), now)) {
             return "failed just now";
         }
+        if (!servesModel(vm, stage)) {
+            return "serves another model";
+        }
         if (upstreams.available(vm.id(), now) < 1) {
             return "no allowance left";
         }
         return "";
     }
 
+    /** An engine that has not reported yet gets the benefit of the doubt. */
+    private boolean servesModel(Vm vm, Stage stage) {
+        Optional<LoadReport> report = upstreams.report(vm.id());
+        if (stage.model().isEmpty() || report.isEmpty()) {
+            return true;
+        }
+        return report.get().model().equals(stage.model());
+    }
+
     private double expectedNanos(Vm vm, Duration unseen, Optional<VmId> home) {
         double work = upstreams.expected(vm.id()).orElse(unseen).toNanos();
         Optional<LoadReport> report = upstreams.report(vm.id());
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/Upstreams.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/Upstreams.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import org.wagtaillug.grant.Finish;
 import org.wagtaillug.health.LoadReport;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/admission/AdmissionTest.java
@@ -0,0 +1,43 @@
+package org.wagtaillug.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.wagtaillug.id.CustomerId;
+import org.wagtaillug.result.ResultCode;
+
+class AdmissionTest {
+    private static final CustomerId LARGE = new CustomerId("large");
+    private static final CustomerId SMALL = new CustomerId("small");
+
+    @Test
+    void theBurstOfALargeCustomerLeavesRoomForASmallOne() {
+        // A large customer sends five times its usual; a small one asks at the same time. Without shares the small one
+        // finds the node full and is refused for what the large one did.
+        Admission admission = new Admission(100);
+        admission.entered(SMALL, 1);
+        int admitted = 0;
+        while (admission.obstacle(LARGE, 4).isEmpty()) {
+            admission.entered(LARGE, 4);
+            admitted++;
+        }
+        assertThat(admitted).isEqualTo(80);
+        assertThat(admission.obstacle(LARGE, 4).get()).isEqualTo(ResultCode.CUSTOMER_OVER_SHARE);
+        for (int more = 0; more < 19; more++) {
+            assertThat(admission.obstacle(SMALL, 1).isEmpty()).isTrue();
+            admission.entered(SMALL, 1);
+        }
+        assertThat(admission.obstacle(SMALL, 1).isDefined()).isTrue();
+    }
+
+    @Test
+    void aCustomerThatIsAloneMayFillTheNode() {
+        Admission admission = new Admission(10);
+        while (admission.obstacle(LARGE, 1).isEmpty()) {
+            admission.entered(LARGE, 1);
+        }
+        assertThat(admission.total()).isEqualTo(10);
+        admission.left(LARGE);
+        assertThat(admission.obstacle(LARGE, 1).isEmpty()).isTrue();
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/dispatch/AnswerLedger.java
@@ -0,0 +1,57 @@
+package org.wagtaillug.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.wagtaillug.node.Effect;
+import org.wagtaillug.result.RunState;
+
+/** Keeps the books on a session, naively: who asked, who was answered how, and what may have reached an upstream. */
+final class AnswerLedger {
+    private final Set<String> arrived = new HashSet<>();
+    private final Map<String, Integer> answers = new HashMap<>();
+    private final Set<String> mayHaveRun = new HashSet<>();
+    private final Set<String> toldNotRun = new HashSet<>();
+
+    void arrived(String request) {
+        arrived.add(request);
+    }
+
+    void ended(Attempt attempt, AttemptEnd end) {
+        boolean reached =
+                end instanceof AttemptEnd.Completed || end instanceof AttemptEnd.Failed failed && failed.byteLeft();
+        if (reached) {
+            mayHaveRun.add(attempt.id().request().value());
+        }
+    }
+
+    void take(List<Effect> effects) {
+        for (Effect effect : effects) {
+            if (effect instanceof Effect.AnswerServed served) {
+                answers.merge(served.request().value(), 1, Integer::sum);
+            }
+            if (effect instanceof Effect.AnswerRefused refused) {
+                answers.merge(refused.request().value(), 1, Integer::sum);
+                if (refused.refusal().run() == RunState.NOT_RUN) {
+                    toldNotRun.add(refused.request().value());
+                }
+            }
+        }
+    }
+
+    List<String> problems() {
+        List<String> problems = new ArrayList<>();
+        for (String request : arrived) {
+            if (answers.getOrDefault(request, 0) != 1) {
+                problems.add(request + " was answered " + answers.getOrDefault(request, 0) + " times");
+            }
+            if (toldNotRun.contains(request) && mayHaveRun.contains(request)) {
+                problems.add(request + " was told not-run but may have run");
+            }
+        }
+        return problems;
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
@@ -0,0 +1,250 @@
+package org.wagtaillug.daemon.administration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import io.vavr.control.Try;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wagtaillug.contract.Body;
+import org.wagtaillug.daemon.DecisionLog;
+import org.wagtaillug.daemon.Json;
+import org.wagtaillug.daemon.control.ControlThread;
+import org.wagtaillug.daemon.metrics.NodeMetrics;
+import org.wagtaillug.id.OperatorId;
+import org.wagtaillug.log.LogRecord;
+import org.wagtaillug.node.Event;
+import org.wagtaillug.node.Node;
+import org.wagtaillug.result.Refusal;
+import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.result.RunState;
+import org.wagtaillug.settings.Contracts;
+import org.wagtaillug.settings.NodeSettings;
+
+/** The administration interface; docs/API.md describes it. */
+public final class AdministrationHandler extends Handler.Abstract {
+    private static final String CONFIGURATION = "/admin/configuration/";
+    private static final String CHANGES = "/admin/changes/";
+    private static final String REQUESTS = "/admin/requests/";
+    private static final int LONGEST_BODY = 1024 * 1024;
+    private static final long LONGEST_WAIT_MILLIS = 10_000;
+    private static final long NEWEST = -1;
+
+    private final ControlThread control;
+    private final PendingChanges pending;
+    private final DecisionLog decisions;
+    private final NodeMetrics metrics;
+    private final BooleanSupplier ready;
+    private final Access access;
+
+    /** Serves operators. */
+    public AdministrationHandler(
+            ControlThread control,
+            PendingChanges pending,
+            DecisionLog decisions,
+            NodeMetrics metrics,
+            BooleanSupplier ready,
+            NodeSettings.Administration settings) {
+        this.control = control;
+        this.pending = pending;
+        this.decisions = decisions;
+        this.metrics = metrics;
+        this.ready = ready;
+        this.access = new Access(settings.accesses());
+    }
+
+    private record Exchange(Request request, Response response, Callback callback) {}
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        Exchange exchange = new Exchange(request, response, callback);
+        String path = Request.getPathInContext(request);
+        switch (path) {
+            case "/healthz" -> text(exchange, 200, "alive\n");
+            case "/readyz" ->
+                text(exchange, ready.getAsBoolean() ? 200 : 503, ready.getAsBoolean() ? "ready\n" : "not ready\n");
+            case "/metrics" -> text(exchange, 200, metrics.text());
+            default -> administer(path, exchange);
+        }
+        return true;
+    }
+
+    private void administer(String path, Exchange exchange) {
+        Optional<NodeSettings.Access> holder =
+                access.holder(exchange.request().getHeaders().get(HttpHeader.AUTHORIZATION));
+        if (holder.isEmpty()) {
+            refuse(exchange, ResultCode.FORBIDDEN, "no valid token; expected \"Authorization: Bearer TOKEN\"");
+            return;
+        }
+        if (HttpMethod.POST.is(exchange.request().getMethod())) {
+            post(path, holder.get(), exchange);
+            return;
+        }
+        get(path, exchange);
+    }
+
+    private void get(String path, Exchange exchange) {
+        switch (path) {
+            case "/admin/configuration" -> answer(exchange, (node, now) -> Views.configuration(node));
+            case "/admin/nodes" -> answer(exchange, Views::nodes);
+            case "/admin/upstreams" -> answer(exchange, Views::upstreams);
+            case "/admin/ownership" -> answer(exchange, Views::ownership);
+            case "/admin/requests" -> answer(exchange, Views::requests);
+            default -> getOne(path, exchange);
+        }
+    }
+
+    private void getOne(String path, Exchange exchange) {
+        if (path.startsWith(CONFIGURATION)) {
+            entry(path.substring(CONFIGURATION.length()), exchange);
+            return;
+        }
+        if (path.startsWith(REQUESTS)) {
+            String request = path.substring(REQUESTS.length());
+            write(exchange, 200, Views.decisions(request, decisions.about(request)));
+            return;
+        }
+        Try<Long> version = Try.of(() -> Long.parseLong(path.substring(CHANGES.length())));
+        if (path.startsWith(CHANGES) && version.isSuccess()) {
+            answer(exchange, (node, now) -> Views.change(node, version.get(), now));
+            return;
+        }
+        unknown(path, exchange);
+    }
+
+    private void unknown(String path, Exchange exchange) {
+        ObjectNode body = Json.object();
+        body.put("message", "path \"" + path + "\" is not known; expected one of those in docs/API.md");
+        write(exchange, 404, body);
+    }
+
+    private void entry(String key, Exchange exchange) {
+        control.query((node, now) -> node.state().entry(key)).whenComplete((entry, fault) -> {
+            if (fault != null) {
+                refuse(exchange, ResultCode.INTERNAL, "the node is ending");
+                return;
+            }
+            if (entry.isEmpty()) {
+                ObjectNode body = Json.object();
+                body.put("message", "key \"" + key + "\" was never set");
+                write(exchange, 404, body);
+                return;
+            }
+            write(exchange, 200, Views.entry(entry.get()));
+        });
+    }
+
+    private void answer(Exchange exchange, BiFunction<Node, Instant, ObjectNode> view) {
+        control.query(view).whenComplete((body, fault) -> {
+            if (fault != null) {
+                refuse(exchange, ResultCode.INTERNAL, String.valueOf(fault.getMessage()));
+                return;
+            }
+            write(exchange, 200, body);
+        });
+    }
+
+    private void post(String path, NodeSettings.Access holder, Exchange exchange) {
+        if (!path.equals("/admin/changes")) {
+            unknown(path, exchange);
+            return;
+        }
+        if (holder.role() != NodeSettings.Role.OPERATOR) {
+            refuse(exchange, ResultCode.FORBIDDEN, "the token's role is reader; expected operator");
+            return;
+        }
+        Try<JsonNode> body = Try.of(() -> Content.Source.asString(exchange.request()))
+                .filter(text -> text.length() <= LONGEST_BODY)
+                .flatMap(Json::read);
+        Either<String, Submission> submission =
+                body.isFailure() ? Either.left("the body is not JSON or too long") : submission(body.get());
+        if (submission.isLeft()) {
+            refuse(exchange, ResultCode.MALFORMED, submission.getLeft());
+            return;
+        }
+        submit(submission.get(), holder.operator(), exchange);
+    }
+
+    private record Submission(String key, long base, Body body, String changeId) {}
+
+    private static Either<String, Submission> submission(JsonNode json) {
+        String key = json.path("key").asText("");
+        String changeId = json.path("change_id").asText("");
+        if (key.isEmpty() || changeId.isEmpty() || !json.path("base").isIntegralNumber()) {
+            return Either.left("expected \"key\", \"base\" (a version, or -1), \"change_id\" and \"body\"");
+        }
+        return Contracts.fromJson(Json.text(json.path("body")))
+                .mapLeft(problems -> problems.get(0).toString())
+                .flatMap(body -> matching(key, json.path("base").asLong(), body, changeId));
+    }
+
+    private static Either<String, Submission> matching(String key, long base, Body body, String changeId) {
+        boolean nameless = body instanceof Body.Removed || body instanceof Body.Unknown;
+        if (!nameless && !body.key().equals(key)) {
+            return Either.left("key is \"" + key + "\"; expected \"" + body.key() + "\" for this body");
+        }
+        return Either.right(new Submission(key, base, body, changeId));
+    }
+
+    private void submit(Submission wanted, OperatorId operator, Exchange exchange) {
+        CompletableFuture<Either<Refusal, Long>> outcome = pending.await(wanted.changeId());
+        control.query((node, now) -> wanted.base() == NEWEST ? node.state().versionOf(wanted.key()) : wanted.base())
+                .thenAccept(base -> control.submit(new Event.ChangeSubmitted(
+                        new LogRecord.Change(wanted.key(), base, wanted.body(), operator, wanted.changeId()))));
+        outcome.copy().orTimeout(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS).whenComplete((result, fault) -> {
+            if (fault != null) {
+                Refusal refusal = Refusal.unknown(
+                        ResultCode.LOG_UNAVAILABLE, Duration.ofSeconds(1), "the log has not answered yet");
+                refuse(exchange, refusal);
+                return;
+            }
+            result.peek(version -> accepted(exchange, wanted.changeId(), version))
+                    .peekLeft(refusal -> refuse(exchange, refusal));
+        });
+    }
+
+    private static void accepted(Exchange exchange, String changeId, long version) {
+        ObjectNode body = Json.object();
+        body.put("change_id", changeId);
+        body.put("version", version);
+        write(exchange, 200, body);
+    }
+
+    private static void refuse(Exchange exchange, ResultCode code, String message) {
+        refuse(exchange, new Refusal(code, RunState.NOT_RUN, Duration.ZERO, message));
+    }
+
+    private static void refuse(Exchange exchange, Refusal refusal) {
+        ObjectNode body = Json.object();
+        body.put("result_code", refusal.code().number());
+        body.put("run", refusal.run().text());
+        body.put("message", refusal.message());
+        body.put("retry_after_millis", refusal.retryAfter().toMillis());
+        write(exchange, refusal.code().status(), body);
+    }
+
+    private static void write(Exchange exchange, int status, ObjectNode body) {
+        exchange.response().setStatus(status);
+        exchange.response().getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        exchange.response().write(true, ByteBuffer.wrap(Json.write(body)), exchange.callback());
+    }
+
+    private static void text(Exchange exchange, int status, String text) {
+        exchange.response().setStatus(status);
+        exchange.response().getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain; charset=utf-8");
+        Content.Sink.write(exchange.response(), true, text, exchange.callback());
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/Views.java
@@ -0,0 +1,177 @@
+package org.wagtaillug.daemon.administration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wagtaillug.configuration.ControlState;
+import org.wagtaillug.daemon.Json;
+import org.wagtaillug.dispatch.Dispatcher;
+import org.wagtaillug.grant.GrantView;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.log.LogRecord;
+import org.wagtaillug.membership.PeerView;
+import org.wagtaillug.membership.Standing;
+import org.wagtaillug.membership.Vm;
+import org.wagtaillug.node.Node;
+import org.wagtaillug.settings.Contracts;
+
+/** What operators see of a node, as JSON. Built on the control thread. */
+final class Views {
+    private Views() {}
+
+    static ObjectNode configuration(Node node) {
+        ControlState state = node.state();
+        ObjectNode view = Json.object();
+        view.put("through", state.through());
+        view.put("digest", Long.toHexString(state.digest()));
+        ArrayNode entries = view.putArray("entries");
+        for (LogRecord.StateEntry entry : state.entries()) {
+            entries.add(entry(entry));
+        }
+        return view;
+    }
+
+    static ObjectNode entry(LogRecord.StateEntry entry) {
+        ObjectNode view = Json.object();
+        view.put("key", entry.key());
+        view.put("version", entry.version());
+        view.set("body", Json.read(Contracts.toJson(entry.body())).get());
+        return view;
+    }
+
+    static ObjectNode nodes(Node node, Instant now) {
+        ObjectNode view = Json.object();
+        ArrayNode nodes = view.putArray("nodes");
+        nodes.add(self(node, now));
+        for (PeerView peer : node.members().peers(now)) {
+            nodes.add(peer(peer));
+        }
+        return view;
+    }
+
+    private static ObjectNode self(Node node, Instant now) {
+        Standing standing = node.members().standing(now);
+        ObjectNode view = Json.object();
+        view.put("node", node.members().self().toString());
+        view.put("domain", node.members().domain().value());
+        view.put("through", node.state().through());
+        view.put("heard_millis", 0);
+        view.put("fresh", standing == Standing.FRESH);
+        view.put("standing", standing.toString());
+        return view;
+    }
+
+    private static ObjectNode peer(PeerView peer) {
+        ObjectNode view = Json.object();
+        view.put("node", peer.node().toString());
+        view.put("domain", peer.domain().value());
+        view.put("through", peer.through());
+        view.put("heard_millis", peer.silence().map(Duration::toMillis).orElse(-1L));
+        view.put("fresh", peer.heard() && peer.logReachable());
+        return view;
+    }
+
+    /** Whether a version is in force at every node that still takes work, and at which it is not. */
+    static ObjectNode change(Node node, long version, Instant now) {
+        ObjectNode view = nodes(node, now);
+        ArrayNode waiting = Json.object().putArray("waiting_for");
+        for (JsonNode each : view.path("nodes")) {
+            if (each.path("through").asLong() < version) {
+                waiting.add(each.path("node").asText());
+            }
+        }
+        view.put("version", version);
+        view.put("won", node.state().won(version));
+        view.put("in_force", waiting.isEmpty());
+        view.set("waiting_for", waiting);
+        return view;
+    }
+
+    static ObjectNode upstreams(Node node, Instant now) {
+        Map<VmId, GrantView> grants = grants(node, now);
+        ObjectNode view = Json.object();
+        ArrayNode upstreams = view.putArray("upstreams");
+        for (Vm vm : node.upstreams()) {
+            upstreams.add(upstream(node, vm, Optional.ofNullable(grants.get(vm.id()))));
+        }
+        return view;
+    }
+
+    private static ObjectNode upstream(Node node, Vm vm, Optional<GrantView> grant) {
+        ObjectNode view = Json.object();
+        view.put("vm", vm.id().value());
+        view.put("pool", vm.pool().orElseThrow().value());
+        view.put("domain", vm.domain().value());
+        view.put("leaving", vm.leaving());
+        view.put("in_service", node.state().inService(vm));
+        view.put("owner", node.members().ownerOf(vm).map(Object::toString).orElse(""));
+        grant.ifPresent(known -> {
+            view.put("cold", known.cold());
+            view.put("allowed", known.allowance());
+            view.put("in_flight", known.inUse());
+            view.put("limit", known.limit());
+        });
+        node.report(vm.id()).ifPresent(report -> {
+            view.put("running", report.running());
+            view.put("waiting", report.waiting());
+            view.put("started_at", report.startedAt().toEpochMilli());
+        });
+        return view;
+    }
+
+    static ObjectNode ownership(Node node, Instant now) {
+        Map<VmId, GrantView> grants = grants(node, now);
+        ObjectNode view = Json.object();
+        ArrayNode owned = view.putArray("upstreams");
+        for (Vm vm : node.upstreams()) {
+            ObjectNode line = owned.addObject();
+            line.put("vm", vm.id().value());
+            line.put("owner", node.members().ownerOf(vm).map(Object::toString).orElse(""));
+            GrantView grant = grants.get(vm.id());
+            if (grant != null && grant.limit() > 0) {
+                line.put("limit", grant.limit());
+                ObjectNode reserves = line.putObject("reserves");
+                grant.reserves().forEach((holder, reserve) -> reserves.put(holder.toString(), reserve));
+            }
+        }
+        return view;
+    }
+
+    private static Map<VmId, GrantView> grants(Node node, Instant now) {
+        Map<VmId, GrantView> grants = new HashMap<>();
+        for (GrantView grant : node.grants(now)) {
+            grants.put(grant.upstream(), grant);
+        }
+        return grants;
+    }
+
+    static ObjectNode requests(Node node, Instant now) {
+        ObjectNode view = Json.object();
+        ArrayNode requests = view.putArray("requests");
+        for (Dispatcher.FlowView flow : node.requests(now)) {
+            ObjectNode line = requests.addObject();
+            line.put("request", flow.request());
+            line.put("customer", flow.customer());
+            line.put("template", flow.template());
+            line.put("stage", flow.stage());
+            line.put("state", flow.state());
+            line.put("attempts", flow.attempts());
+            line.put("millis_left", flow.millisLeft());
+        }
+        return view;
+    }
+
+    static ObjectNode decisions(String request, List<ObjectNode> decisions) {
+        ObjectNode view = Json.object();
+        view.put("request", request);
+        ArrayNode list = view.putArray("decisions");
+        decisions.forEach(list::add);
+        return view;
+    }
+}
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
 import org.wagtaillug.daemon.Json;
 import org.wagtaillug.daemon.control.MonotonicClock;
 import org.wagtaillug.node.Event;
@@ -42,11 +43,7 @@
 
     /** Serves callers; requests go to {@code events}, answers come back through {@code exchanges}. */
     public CallersHandler(
-            Exchanges exchanges,
-            Consumer<Event> events,
-            MonotonicClock clock,
-            BooleanSupplier ready,
-            Limits limits) {
+            Exchanges exchanges, Consumer<Event> events, MonotonicClock clock, BooleanSupplier ready, Limits limits) {
         this.exchanges = exchanges;
         this.events = events;
         this.clock = clock;
@@ -59,7 +56,8 @@
         String path = Request.getPathInContext(request);
         switch (path) {
             case "/healthz" -> plain(response, callback, true, "alive");
-            case "/readyz" -> plain(response, callback, ready.getAsBoolean(), ready.getAsBoolean() ? "ready" : "not ready");
+            case "/readyz" ->
+                plain(response, callback, ready.getAsBoolean(), ready.getAsBoolean() ? "ready" : "not ready");
             default -> {
                 return pipeline(path, request, response, callback);
             }
@@ -74,7 +72,8 @@
     }
 
     private boolean pipeline(String path, Request request, Response response, Callback callback) {
-        boolean ours = path.startsWith(BEFORE) && path.endsWith(AFTER) && path.length() > BEFORE.length() + AFTER.length();
+        boolean ours =
+                path.startsWith(BEFORE) && path.endsWith(AFTER) && path.length() > BEFORE.length() + AFTER.length();
         if (!ours || !HttpMethod.POST.is(request.getMethod())) {
             return false;
         }
@@ -83,12 +82,28 @@
             return true;
         }
         String template = path.substring(BEFORE.length(), path.length() - AFTER.length());
-        CompletableFuture<byte[]> body = Content.Source.asByteArrayAsync(request, limits.bodyBytes());
+        CompletableFuture<byte[]> body = new CompletableFuture<>();
+        Content.Source.asByteArrayAsync(request, limits.bodyBytes(), whole(body));
         body.orTimeout(limits.senderTimeout().toMillis(), TimeUnit.MILLISECONDS)
-                .whenComplete((bytes, fault) -> arrived(template, bytes, fault, new Exchange(request, response, callback)));
+                .whenComplete(
+                        (bytes, fault) -> arrived(template, bytes, fault, new Exchange(request, response, callback)));
         return true;
     }
 
+    private static Promise.Invocable<byte[]> whole(CompletableFuture<byte[]> body) {
+        return new Promise.Invocable.NonBlocking<>() {
+            @Override
+            public void succeeded(byte[] bytes) {
+                body.complete(bytes);
+            }
+
+            @Override
+            public void failed(Throwable fault) {
+                body.completeExceptionally(fault);
+            }
+        };
+    }
+
     private record Exchange(Request request, Response response, Callback callback) {}
 
     private void arrived(String template, byte[] bytes, Throwable fault, Exchange exchange) {
@@ -128,7 +143,8 @@
 
     private Refusal cut(Throwable fault) {
         if (fault instanceof TimeoutException) {
-            String message = "the body did not come whole within " + limits.senderTimeout().toMillis() + " ms";
+            String message = "the body did not come whole within "
+                    + limits.senderTimeout().toMillis() + " ms";
             return Refusal.notRun(ResultCode.BODY_CUT, Duration.ZERO, message);
         }
         boolean large = fault instanceof IllegalStateException || fault.getCause() instanceof IllegalStateException;
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/RequestReader.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/RequestReader.java
@@ -59,13 +59,13 @@
     record Read(Request request, JsonNode body) {}
 
     static Either<Refusal, Read> read(String template, HttpFields headers, byte[] bytes, Instant now) {
-        return Try.of(() -> parse(template, headers, bytes, now))
-                .toEither()
-                .mapLeft(RequestReader::malformed);
+        return Try.of(() -> parse(template, headers, bytes, now)).toEither().mapLeft(RequestReader::malformed);
     }
 
     private static Refusal malformed(Throwable fault) {
-        String message = fault instanceof IllegalArgumentException ? fault.getMessage() : "the body is not JSON: " + fault.getMessage();
+        String message = fault instanceof IllegalArgumentException
+                ? fault.getMessage()
+                : "the body is not JSON: " + fault.getMessage();
         return Refusal.notRun(ResultCode.MALFORMED, Duration.ZERO, message);
     }
 
@@ -76,7 +76,8 @@
         if (customer == null) {
             throw new IllegalArgumentException("header " + CUSTOMER + " is missing; expected a customer's name");
         }
-        String id = Optional.ofNullable(headers.get(REQUEST)).orElseGet(() -> UUID.randomUUID().toString());
+        String id = Optional.ofNullable(headers.get(REQUEST))
+                .orElseGet(() -> UUID.randomUUID().toString());
         CustomerId customerId = new CustomerId(customer);
         byte[] input = Json.write(body.get("input"));
         Request.Builder request = Request.builder(new RequestId(id), customerId, new TemplateId(template))
@@ -96,7 +97,8 @@
 
     private static void check(JsonNode body) {
         if (!body.isObject()) {
-            throw new IllegalArgumentException("the body is " + body.getNodeType() + "; expected an object with \"input\"");
+            throw new IllegalArgumentException(
+                    "the body is " + body.getNodeType() + "; expected an object with \"input\"");
         }
         if (!body.has("input")) {
             throw new IllegalArgumentException("the body has no \"input\"; expected any JSON value there");
@@ -116,8 +118,9 @@
     }
 
     private static long deadlineMillis(String text) {
-        long millis = Try.of(() -> Long.parseLong(text)).getOrElseThrow(() -> new IllegalArgumentException(
-                "header " + DEADLINE + " is \"" + text + "\"; expected milliseconds as a whole number"));
+        long millis = Try.of(() -> Long.parseLong(text))
+                .getOrElseThrow(() -> new IllegalArgumentException(
+                        "header " + DEADLINE + " is \"" + text + "\"; expected milliseconds as a whole number"));
         return Math.min(millis, LONGEST_DEADLINE_MILLIS);
     }
 
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/metrics/NodeMetrics.java
@@ -0,0 +1,105 @@
+package org.wagtaillug.daemon.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.wagtaillug.dispatch.Attempt;
+import org.wagtaillug.dispatch.AttemptEnd;
+import org.wagtaillug.result.ResultCode;
+
+/** Counts answers, attempts and the cost of control. Names and labels are listed in docs/OPERATIONS.md. */
+public final class NodeMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double[] SECONDS = {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter answers = Counter.builder()
+            .name("wagtaillug_answers_total")
+            .help("Final answers by customer, template, result code and run state")
+            .labelNames("customer", "template", "code", "run")
+            .register(registry);
+    private final Histogram requestSeconds = Histogram.builder()
+            .name("wagtaillug_request_seconds")
+            .help("Time from the whole request to the final answer")
+            .labelNames("template", "outcome")
+            .classicUpperBounds(SECONDS)
+            .classicOnly()
+            .register(registry);
+    private final Counter attempts = Counter.builder()
+            .name("wagtaillug_attempts_total")
+            .help("Attempts by stage and how they ended")
+            .labelNames("stage", "end")
+            .register(registry);
+    private final Counter stageSeconds = Counter.builder()
+            .name("wagtaillug_stage_seconds_total")
+            .help("Time that attempts of a stage took, by how they ended")
+            .labelNames("stage", "end")
+            .register(registry);
+    private final Counter decisions = Counter.builder()
+            .name("wagtaillug_decisions_total")
+            .help("Decisions by kind")
+            .labelNames("kind")
+            .register(registry);
+    private final Gauge configurationOffset =
+            gauge("wagtaillug_configuration_offset", "The last offset of the control stream that is in force here");
+    private final Gauge ready = gauge("wagtaillug_ready", "1 while the node takes new requests");
+    private final Gauge controlSeconds =
+            gauge("wagtaillug_control_cpu_seconds", "Processor time of the control thread since the start");
+    private final Gauge linkBytes =
+            gauge("wagtaillug_link_bytes", "Bytes between this node and others since the start, both ways");
+
+    private Gauge gauge(String name, String help) {
+        return Gauge.builder().name(name).help(help).register(registry);
+    }
+
+    /** Notes a final answer. */
+    public void answered(String customer, String template, ResultCode code, String run, Duration took) {
+        answers.labelValues(customer, template, Integer.toString(code.number()), run)
+                .inc();
+        String outcome = code == ResultCode.SERVED ? "served" : "refused";
+        requestSeconds.labelValues(template, outcome).observe(took.toNanos() / NANOS_PER_SECOND);
+    }
+
+    /** Notes the end of an attempt. */
+    public void attempted(Attempt attempt, AttemptEnd end, Duration took) {
+        String stage = attempt.stage().id().value();
+        String how = end.getClass().getSimpleName();
+        attempts.labelValues(stage, how).inc();
+        stageSeconds.labelValues(stage, how).inc(took.toNanos() / NANOS_PER_SECOND);
+    }
+
+    /** Notes a decision. */
+    public void decided(String kind) {
+        decisions.labelValues(kind).inc();
+    }
+
+    /** Notes whether the node takes new requests. */
+    public void ready(boolean value) {
+        ready.set(value ? 1 : 0);
+    }
+
+    /** Notes what control has cost and how far the control stream is read. */
+    public void control(long through, long cpuNanos, long bytes) {
+        configurationOffset.set(through);
+        controlSeconds.set(cpuNanos / NANOS_PER_SECOND);
+        linkBytes.set(bytes);
+    }
+
+    /** All figures in Prometheus's text format. */
+    public String text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException impossible) {
+            throw new UncheckedIOException("writing into memory does not fail", impossible);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** What the node tells a Prometheus server about itself. */
+package org.wagtaillug.daemon.metrics;
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/platform/PlatformClient.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/platform/PlatformClient.java
@@ -27,7 +27,6 @@
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.link.LogRecordCodec;
 import org.wagtaillug.log.LogBatch;
-import org.wagtaillug.log.LogStream;
 import org.wagtaillug.membership.Vm;
 import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Event;
@@ -104,7 +103,8 @@
         request.onRequestBegin(ignored -> sent.begun = true);
         send(request, LOG_TIMEOUT_MILLIS, (status, body) -> {
             if (status == OK) {
-                events.accept(new Event.LogAppended(append.append(), body.path("offset").asLong()));
+                events.accept(new Event.LogAppended(
+                        append.append(), body.path("offset").asLong()));
                 return;
             }
             boolean refused = status >= 400;
@@ -178,8 +178,10 @@
                 .method(HttpMethod.POST)
                 .path("/orders")
                 .body(new BytesRequestContent("application/json", Json.write(body)));
-        send(request, ORDER_TIMEOUT_MILLIS, (status, ignored) ->
-                events.accept(new Event.OrderEnded(upstream.id(), status == OK)));
+        send(
+                request,
+                ORDER_TIMEOUT_MILLIS,
+                (status, ignored) -> events.accept(new Event.OrderEnded(upstream.id(), status == OK)));
     }
 
     /** Sends and hands over the status and the JSON body; status 0 stands for no answer or one that is not JSON. */
@@ -192,7 +194,8 @@
                     return;
                 }
                 byte[] content = getContent();
-                JsonNode body = Json.read(content == null ? new byte[0] : content).getOrElse(Json.object());
+                JsonNode body =
+                        Json.read(content == null ? new byte[0] : content).getOrElse(Json.object());
                 then.accept(result.getResponse().getStatus(), body);
             }
         });
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
@@ -86,7 +86,8 @@
             return new AttemptEnd.NotStarted();
         }
         if (result.isFailed()) {
-            return new AttemptEnd.Failed(byteLeft, String.valueOf(result.getFailure().getMessage()));
+            return new AttemptEnd.Failed(
+                    byteLeft, String.valueOf(result.getFailure().getMessage()));
         }
         int status = result.getResponse().getStatus();
         if (status == OK) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
@@ -62,7 +62,8 @@
             return;
         }
         Request request = request(attempt, caller.get());
-        AttemptListener listener = new AttemptListener(attempt, reader(attempt, caller.get()), clock, events, this::forget);
+        AttemptListener listener =
+                new AttemptListener(attempt, reader(attempt, caller.get()), clock, events, this::forget);
         live.put(attempt.id(), request);
         request.onRequestBegin(listener::onBegin)
                 .onResponseBegin(listener::onResponse)
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/TokenReader.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/TokenReader.java
@@ -61,15 +61,17 @@
     }
 
     private void event(JsonNode event) {
-        boolean own = event.path("request").asText().equals(attempt.id().request().value())
-                && event.path("id").asText().equals(attempt.id().toString());
+        boolean own =
+                event.path("request").asText().equals(attempt.id().request().value())
+                        && event.path("id").asText().equals(attempt.id().toString());
         if (!own) {
             fault = "a token of attempt " + event.path("id").asText();
             return;
         }
         int offset = event.path("token_offset").asInt(-1);
         JsonNode choice = event.path("choices").path(0);
-        if (offset < 0 || !caller.token(attempt.id(), offset, choice.path("text").asText(""))) {
+        if (offset < 0
+                || !caller.token(attempt.id(), offset, choice.path("text").asText(""))) {
             fault = "a token at offset " + offset + " cannot be joined";
             return;
         }
@@ -84,7 +86,10 @@
             return new AttemptEnd.Failed(true, fault);
         }
         if (tokens < 0 || !caller.whole(attempt.stage().id(), tokens)) {
-            return new AttemptEnd.Failed(true, "the stream broke off at token " + caller.nextToken(attempt.stage().id()));
+            return new AttemptEnd.Failed(
+                    true,
+                    "the stream broke off at token "
+                            + caller.nextToken(attempt.stage().id()));
         }
         return new AttemptEnd.Completed(caller.output(attempt.stage().id()));
     }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/ValueReader.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/ValueReader.java
@@ -35,10 +35,12 @@
             return new AttemptEnd.Failed(true, "the answer is cut or has no output");
         }
         JsonNode answer = value.get();
-        boolean own = answer.path("request").asText().equals(attempt.id().request().value())
-                && answer.path("attempt").asText().equals(attempt.id().toString());
+        boolean own =
+                answer.path("request").asText().equals(attempt.id().request().value())
+                        && answer.path("attempt").asText().equals(attempt.id().toString());
         if (!own) {
-            return new AttemptEnd.Failed(true, "the answer of attempt " + answer.path("attempt").asText());
+            return new AttemptEnd.Failed(
+                    true, "the answer of attempt " + answer.path("attempt").asText());
         }
         return new AttemptEnd.Completed(Payload.wrap(Json.write(answer.get("output"))));
     }
