--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
@@ -28,6 +28,7 @@
  *
  * <pre>
  * nodes: [http://127.0.0.1:8001, http://127.0.0.1:8002]
+ * warm_up: 5s
  * duration: 60s
  * rate: 40
  * burst: {at: 20s, for: 10s, factor: 3}
@@ -42,7 +43,9 @@
  * </pre>
  *
  * @param nodes the nodes' addresses for callers
- * @param duration for how long to send
+ * @param warmUp for how long to send before the measured time; such requests are checked for truth but not counted. None
+ *     by default
+ * @param duration for how long to send and count; all other times count from its start
  * @param rate requests a second
  * @param burst a time of a higher rate; absent for none
  * @param customers who sends; a share is a weight
@@ -53,6 +56,7 @@
  */
 public record LoadFile(
         List<URI> nodes,
+        Duration warmUp,
         Duration duration,
         double rate,
         Burst burst,
@@ -63,6 +67,7 @@
 
     /** Replaces absent lists by empty ones. */
     public LoadFile {
+        warmUp = warmUp == null ? Duration.ZERO : warmUp;
         nodes = nodes == null ? List.of() : List.copyOf(nodes);
         customers = customers == null ? List.of() : List.copyOf(customers);
         kinds = kinds == null ? List.of() : List.copyOf(kinds);
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
@@ -63,13 +63,13 @@
             return Either.left(
                     "no node is ready: " + file.nodes() + ", expected one within " + READY_WITHIN_MILLIS + " ms");
         }
-        long start = System.nanoTime();
+        long start = System.nanoTime() + file.warmUp().toNanos();
         scheduleFaults();
         for (Arrival arrival : arrivals) {
             long due = start + arrival.atNanos();
             parkUntil(due);
             long now = System.nanoTime();
-            recorder.sent(now - due);
+            recorder.sent(arrival, now - due);
             Call.Due dueAt = new Call.Due(due, System.currentTimeMillis());
             new Call(client, balancer, recorder, arrival, call -> left.countDown(), dueAt).send(now);
         }
@@ -131,7 +131,8 @@
 
     private void scheduleFaults() {
         for (LoadFile.TimedCall fault : file.faults()) {
-            timer.schedule(() -> call(fault), fault.at().toMillis(), TimeUnit.MILLISECONDS);
+            long millis = file.warmUp().plus(fault.at()).toMillis();
+            timer.schedule(() -> call(fault), millis, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Recorder.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Recorder.java
@@ -32,7 +32,10 @@
         this.seed = seed;
     }
 
-    synchronized void sent(long lagNanos) {
+    synchronized void sent(Arrival arrival, long lagNanos) {
+        if (arrival.warmsUp()) {
+            return;
+        }
         sendLag.recordValue(Math.max(0, lagNanos) / NANOS_PER_MICRO);
     }
 
@@ -54,18 +57,21 @@
 
     /** Counts a request's end; {@code key} is empty when it had no idempotency key. */
     synchronized void end(Arrival arrival, String key, Outcome outcome, AnswerCheck check, long wholeNanos) {
-        for (GroupTally group : groups(arrival)) {
-            group.end(outcome, arrival.kind().worth(), wholeNanos);
-        }
-        int second = (int) (arrival.atNanos() / NANOS_PER_SECOND);
-        seconds.computeIfAbsent(second, unused -> new GroupTally())
-                .end(outcome, arrival.kind().worth(), wholeNanos);
         wrongRequest += check.wrongRequest() ? 1 : 0;
         tooShort += check.tooShort() ? 1 : 0;
         doubled += check.doubled() ? 1 : 0;
         if (!key.isEmpty()) {
             keys.put(key, outcome);
         }
+        if (arrival.warmsUp()) {
+            return;
+        }
+        for (GroupTally group : groups(arrival)) {
+            group.end(outcome, arrival.kind().worth(), wholeNanos);
+        }
+        int second = (int) (arrival.atNanos() / NANOS_PER_SECOND);
+        seconds.computeIfAbsent(second, unused -> new GroupTally())
+                .end(outcome, arrival.kind().worth(), wholeNanos);
     }
 
     synchronized void fault(LoadReport.FaultReport fault) {
@@ -123,6 +129,9 @@
     }
 
     private List<GroupTally> groups(Arrival arrival) {
+        if (arrival.warmsUp()) {
+            return List.of();
+        }
         GroupTally customer = customers.computeIfAbsent(arrival.customer().name(), unused -> new GroupTally());
         GroupTally kind = kinds.computeIfAbsent(arrival.kind().name(), unused -> new GroupTally());
         return List.of(total, customer, kind);
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Schedule.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Schedule.java
@@ -27,7 +27,8 @@
     }
 
     private List<Arrival> arrivals() {
-        double end = seconds(file.duration());
+        double warmUp = seconds(file.warmUp());
+        double end = warmUp + seconds(file.duration());
         List<Arrival> arrivals = new ArrayList<>();
         double expected = 0;
         while (true) {
@@ -38,16 +39,17 @@
             }
             LoadFile.Customer customer = choose(file.customers(), LoadFile.Customer::share);
             LoadFile.Kind kind = choose(file.kinds(), LoadFile.Kind::share);
-            arrivals.add(new Arrival(arrivals.size(), (long) (at * NANOS), customer, kind, random.nextLong()));
+            arrivals.add(
+                    new Arrival(arrivals.size(), (long) ((at - warmUp) * NANOS), customer, kind, random.nextLong()));
         }
     }
 
-    /** Returns the second by which so many requests are expected: the inverse of the rate summed up over time. */
+    /** Returns the second, from the first sending, by which so many requests are expected: the rate's sum inverted. */
     private double timeOf(double expected) {
         if (file.burst() == null) {
             return expected / file.rate();
         }
-        double burstAt = seconds(file.burst().at());
+        double burstAt = seconds(file.warmUp()) + seconds(file.burst().at());
         double burstLength = seconds(file.burst().length());
         double before = burstAt * file.rate();
         if (expected <= before) {
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
@@ -69,6 +69,17 @@
         }
     }
 
+    @Test
+    void checksButDoesNotCountWhatIsSentToWarmUp() throws Exception {
+        try (FakeNode node = FakeNode.start(true)) {
+            LoadFile file = file(node.url(), kind("another", false, ""), "warm_up: 300ms\n");
+            LoadReport report = run(file);
+            assertThat(report.total().offered()).isPositive().isLessThan(node.requests.size());
+            assertThat(report.truth().wrongRequest()).isEqualTo(node.requests.size());
+            assertThat(report.seconds()).hasSize(1);
+        }
+    }
+
     @ParameterizedTest
     @CsvSource({
         "refuse, false, 0, 1, refused, 201",
