--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
@@ -100,7 +100,8 @@
      * @param idempotencyKey whether each request carries a key of its own
      * @param input the input to send; absent for {@code inputWords} random words
      * @param inputWords how many random words the input has; 20 by default
-     * @param prefix what many requests begin with, sent as {@code prefix}; absent for none
+     * @param prefixes out of how many shared starts the random words of a request take theirs, named in {@code prefix};
+     *     0 by default, for none
      */
     public record Kind(
             String name,
@@ -113,7 +114,7 @@
             boolean idempotencyKey,
             JsonNode input,
             Integer inputWords,
-            String prefix) {
+            int prefixes) {
         private static final int DEFAULT_INPUT_WORDS = 20;
 
         /** Takes the default number of words if none is given. */
@@ -252,6 +253,7 @@
         require(problems, kind.share() > 0, path + "share: found " + kind.share() + ", expected above 0");
         boolean hasDeadline = kind.deadline() != null && !kind.deadline().isZero();
         require(problems, hasDeadline, path + "deadline: expected a time above 0s");
+        require(problems, kind.prefixes() >= 0, path + "prefixes: found " + kind.prefixes() + ", expected 0 or more");
     }
 
     private static void require(List<String> problems, boolean holds, String problem) {
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
@@ -29,7 +29,7 @@
     private static final long IDLE_MILLIS = 5_000;
     private static final long PROBE_MILLIS = 250;
     private static final long READY_WITHIN_MILLIS = 30_000;
-    private static final long LEDGER_TIMEOUT_MILLIS = 10_000;
+    private static final long CALL_TIMEOUT_MILLIS = 10_000;
 
     private final LoadFile file;
     private final List<Arrival> arrivals;
@@ -47,12 +47,12 @@
         this.file = file;
         this.arrivals = Schedule.arrivals(file, seed);
         this.recorder = new Recorder(file, seed);
-        this.left = new CountDownLatch(arrivals.size());
+        this.left = new CountDownLatch(arrivals.size() + file.faults().size());
         this.balancer = new Balancer(client, file.nodes());
     }
 
     /**
-     * Sends all requests and waits for their ends.
+     * Sends all requests, makes all timed calls and waits for their ends.
      *
      * @return the report, or why there is none
      */
@@ -73,8 +73,8 @@
             Call.Due dueAt = new Call.Due(due, System.currentTimeMillis());
             new Call(client, balancer, recorder, arrival, call -> left.countDown(), dueAt).send(now);
         }
-        if (!left.await(longestAnswerMillis(), TimeUnit.MILLISECONDS)) {
-            return Either.left(left.getCount() + " requests never came to an end");
+        if (!left.await(longestWaitMillis(), TimeUnit.MILLISECONDS)) {
+            return Either.left(left.getCount() + " requests or faults never came to an end");
         }
         return executions().map(recorder::report);
     }
@@ -120,13 +120,18 @@
         }
     }
 
-    private long longestAnswerMillis() {
+    private long longestWaitMillis() {
         long longest = 0;
         for (LoadFile.Kind kind : file.kinds()) {
             longest = Math.max(longest, kind.deadline().toMillis());
         }
         int sendings = file.nodes().size() + 1;
-        return sendings * (longest + Call.GRACE_MILLIS);
+        long answers = sendings * (longest + Call.GRACE_MILLIS);
+        long faults = 0;
+        for (LoadFile.TimedCall fault : file.faults()) {
+            faults = Math.max(faults, fault.at().toMillis() + CALL_TIMEOUT_MILLIS);
+        }
+        return Math.max(answers, faults) + Call.GRACE_MILLIS;
     }
 
     private void scheduleFaults() {
@@ -140,6 +145,7 @@
         String body = Json.text(fault.body());
         client.newRequest(fault.url())
                 .method(fault.method())
+                .timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .body(new StringRequestContent("application/json", body))
                 .send(result -> {
                     String came = result.isSucceeded()
@@ -147,6 +153,7 @@
                             : String.valueOf(result.getFailure().getMessage());
                     recorder.fault(new LoadReport.FaultReport(
                             fault.at().toMillis(), fault.url().toString(), body, came));
+                    left.countDown();
                 });
     }
 
@@ -155,7 +162,7 @@
         for (URI ledger : file.ledgers()) {
             try {
                 ContentResponse response = client.newRequest(ledger.resolve("/executions"))
-                        .timeout(LEDGER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                        .timeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                         .send();
                 if (response.getStatus() != HttpStatus.OK_200) {
                     return Either.left(ledger + ": answered " + response.getStatus() + ", expected its executions");
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/RequestBody.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/RequestBody.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.wagtaillug.standin.http.Hashing;
 import org.wagtaillug.standin.http.Json;
 
 /** Writes the body of a request: the kind's input, or random words. */
@@ -35,22 +36,28 @@
             "gluten",
             "free");
 
+    /** Longer than the start of a prompt that an engine caches. */
+    private static final int PREFIX_WORDS = 80;
+
     private RequestBody() {}
 
     static String write(Arrival arrival, SplittableRandom random) {
         LoadFile.Kind kind = arrival.kind();
         ObjectNode body = Json.mapper().createObjectNode();
+        String start = "";
+        if (kind.prefixes() > 0) {
+            String prefix = kind.name() + "-" + random.nextInt(kind.prefixes());
+            body.put("prefix", prefix);
+            start = words(PREFIX_WORDS, new SplittableRandom(Hashing.number(prefix))) + " ";
+        }
         if (kind.input() == null) {
-            body.put("input", words(kind.inputWords(), random));
+            body.put("input", start + words(kind.inputWords(), random));
         } else {
             body.set("input", kind.input());
         }
         if (kind.maxTokens() != null) {
             body.put("max_tokens", kind.maxTokens());
         }
-        if (kind.prefix() != null) {
-            body.put("prefix", kind.prefix());
-        }
         body.put("stream", kind.stream());
         return Json.text(body);
     }
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/http/FaultsTest.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/http/FaultsTest.java
@@ -78,9 +78,12 @@
     void silencedConnectionsAreNeverAnsweredWhileNewOnesWork() throws Exception {
         try (TestProcess process = TestProcess.start(SERVICE);
                 Socket socket = process.open("s", "GET", "/load", "")) {
-            assertThat(socket.getInputStream().read()).isEqualTo('H');
+            int next = socket.getInputStream().read();
+            while (next != '}') {
+                assertThat(next).isPositive();
+                next = socket.getInputStream().read();
+            }
             process.fault("s", "{\"fault\": \"silent\"}");
-            socket.getInputStream().skip(socket.getInputStream().available());
             TestProcess.write(socket, "POST", "/confirm", CALL);
             HttpResponse<String> fresh = process.newClient()
                     .send(process.request("s", "POST", "/confirm", CALL), HttpResponse.BodyHandlers.ofString());
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadFileTest.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadFileTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -9,6 +10,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -16,6 +22,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtaillug.standin.http.Json;
 
 class LoadFileTest {
     private static final String WHOLE = """
@@ -82,6 +89,24 @@
         assertThat(arrivals).isSortedAccordingTo((one, other) -> Long.compare(one.atNanos(), other.atNanos()));
     }
 
+    @Test
+    void requestsOfOnePrefixBeginAlike() throws IOException {
+        LoadFile file = LoadFile.read(file(WHOLE.replace("worth: 1", "worth: 1, prefixes: 2")))
+                .getOrElseThrow(problem -> new AssertionError(problem));
+        Map<String, Set<String>> starts = new TreeMap<>();
+        for (Arrival arrival : Schedule.arrivals(file, 1)) {
+            JsonNode body = Json.read(
+                            RequestBody.write(arrival, new SplittableRandom(arrival.seed()))
+                                    .getBytes(StandardCharsets.UTF_8),
+                            JsonNode.class)
+                    .get();
+            starts.computeIfAbsent(body.path("prefix").asText(), unused -> new TreeSet<>())
+                    .add(body.path("input").asText().substring(0, 256));
+        }
+        assertThat(starts).containsOnlyKeys("k-0", "k-1");
+        assertThat(starts.values()).allSatisfy(one -> assertThat(one).hasSize(1));
+    }
+
     @Property(seed = "11", tries = 50)
     void eventsComeOutWholeHoweverTheBytesAreCut(@ForAll @IntRange(min = 1, max = 40) int piece) {
         byte[] bytes = ": comment\ndata: {\"a\":\"é\"}\n\nevent: end\r\ndata: 1\ndata: 2\n\ndata: cut"
