--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
@@ -11,11 +11,15 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.client.HttpClient;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtaillug.standin.TestProcess;
 import org.wagtaillug.standin.http.Json;
 
 class LoadRunTest {
@@ -128,6 +132,35 @@
         }
     }
 
+    /**
+     * A node dies between two probes, so the balancer still gives requests to it. Nothing was sent when the connection
+     * is refused, so the request goes to the next node; here there is none.
+     */
+    @Test
+    void takesOutANodeThatRefusesConnections() throws Exception {
+        HttpClient probing = new HttpClient();
+        HttpClient calling = new HttpClient();
+        probing.start();
+        calling.start();
+        LoadFile file;
+        Balancer balancer;
+        try (FakeNode node = FakeNode.start(true)) {
+            file = file(node.url(), kind("ask", false, ""), "");
+            balancer = new Balancer(probing, file.nodes());
+            balancer.probe();
+            TestProcess.until(balancer::anyReady);
+        }
+        Recorder recorder = new Recorder(file, 1);
+        CompletableFuture<Call> ended = new CompletableFuture<>();
+        Call.Due due = new Call.Due(System.nanoTime(), 0);
+        Arrival arrival = Schedule.arrivals(file, 1).get(0);
+        new Call(calling, balancer, recorder, arrival, ended::complete, due).send(System.nanoTime());
+        ended.get();
+        assertThat(recorder.report(Map.of()).total().lostByReason()).containsOnlyKeys("no node ready");
+        probing.stop();
+        calling.stop();
+    }
+
     /**
      * A booking runs twice under one key, or a refusal says not run though it ran. Callers cannot see either; only the
      * ledgers behind the system do.
