--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
@@ -28,6 +28,7 @@
  *
  * <pre>
  * nodes: [http://127.0.0.1:8001, http://127.0.0.1:8002]
+ * warm_up: 5s
  * duration: 60s
  * rate: 40
  * burst: {at: 20s, for: 10s, factor: 3}
@@ -42,7 +43,9 @@
  * </pre>
  *
  * @param nodes the nodes' addresses for callers
- * @param duration for how long to send
+ * @param warmUp for how long to send before the measured time; such requests are checked for truth but not counted. None
+ *     by default
+ * @param duration for how long to send and count; all other times count from its start
  * @param rate requests a second
  * @param burst a time of a higher rate; absent for none
  * @param customers who sends; a share is a weight
@@ -53,6 +56,7 @@
  */
 public record LoadFile(
         List<URI> nodes,
+        Duration warmUp,
         Duration duration,
         double rate,
         Burst burst,
@@ -63,6 +67,7 @@
 
     /** Replaces absent lists by empty ones. */
     public LoadFile {
+        warmUp = warmUp == null ? Duration.ZERO : warmUp;
         nodes = nodes == null ? List.of() : List.copyOf(nodes);
         customers = customers == null ? List.of() : List.copyOf(customers);
         kinds = kinds == null ? List.of() : List.copyOf(kinds);
@@ -95,7 +100,8 @@
      * @param idempotencyKey whether each request carries a key of its own
      * @param input the input to send; absent for {@code inputWords} random words
      * @param inputWords how many random words the input has; 20 by default
-     * @param prefix what many requests begin with, sent as {@code prefix}; absent for none
+     * @param prefixes out of how many shared starts the random words of a request take theirs, named in {@code prefix};
+     *     0 by default, for none
      */
     public record Kind(
             String name,
@@ -108,7 +114,7 @@
             boolean idempotencyKey,
             JsonNode input,
             Integer inputWords,
-            String prefix) {
+            int prefixes) {
         private static final int DEFAULT_INPUT_WORDS = 20;
 
         /** Takes the default number of words if none is given. */
@@ -247,6 +253,7 @@
         require(problems, kind.share() > 0, path + "share: found " + kind.share() + ", expected above 0");
         boolean hasDeadline = kind.deadline() != null && !kind.deadline().isZero();
         require(problems, hasDeadline, path + "deadline: expected a time above 0s");
+        require(problems, kind.prefixes() >= 0, path + "prefixes: found " + kind.prefixes() + ", expected 0 or more");
     }
 
     private static void require(List<String> problems, boolean holds, String problem) {
