--- /dev/null
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
@@ -0,0 +1,126 @@
+package org.wagtaillug.link;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.vavr.control.Either;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.util.Optional;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.link.generated.EnvelopeMessage;
+import org.wagtaillug.link.generated.PositionMessage;
+import org.wagtaillug.link.generated.ProbeMessage;
+import org.wagtaillug.link.generated.ProbeReplyMessage;
+import org.wagtaillug.link.generated.StateAskMessage;
+import org.wagtaillug.link.generated.StateReplyMessage;
+import org.wagtaillug.message.PeerMessage;
+
+/** Messages between nodes to and from bytes, with the names of sender and receiver. */
+public final class PeerMessageCodec {
+    /**
+     * A message with who said it and for whom it is meant.
+     *
+     * @param sender the node that said it
+     * @param receiver the VM of the node that it is meant for
+     * @param message what it says
+     */
+    public record Envelope(NodeId sender, VmId receiver, PeerMessage message) {}
+
+    /** Writes a message. */
+    public byte[] encode(Envelope envelope) {
+        EnvelopeMessage.Builder message = EnvelopeMessage.newBuilder()
+                .setSender(ControlCodec.encode(envelope.sender()))
+                .setReceiver(envelope.receiver().value());
+        switch (envelope.message()) {
+            case PeerMessage.Probe probe ->
+                message.setProbe(
+                        ProbeMessage.newBuilder().setSequence(probe.sequence()).setPosition(encode(probe.position())));
+            case PeerMessage.ProbeReply reply -> message.setProbeReply(encode(reply));
+            case PeerMessage.StateAsk ignored -> message.setStateAsk(StateAskMessage.getDefaultInstance());
+            case PeerMessage.StateReply reply -> message.setStateReply(encode(reply));
+            case PeerMessage.GrantAsk ask -> message.setGrantAsk(GrantCodec.encode(ask));
+            case PeerMessage.GrantReply reply -> message.setGrantReply(GrantCodec.encode(reply));
+        }
+        return message.build().toByteArray();
+    }
+
+    /** Reads a message; the left side says what is wrong with it. Never throws. */
+    public Either<String, Envelope> decode(byte[] bytes) {
+        try {
+            return decode(EnvelopeMessage.parseFrom(bytes));
+        } catch (InvalidProtocolBufferException
+                | IllegalArgumentException
+                | ArithmeticException
+                | DateTimeException exception) {
+            return Either.left("a message of " + bytes.length + " bytes cannot be read: " + exception.getMessage());
+        }
+    }
+
+    private static Either<String, Envelope> decode(EnvelopeMessage message) {
+        NodeId sender = ControlCodec.decode(message.getSender());
+        VmId receiver = new VmId(message.getReceiver());
+        return switch (message.getKindCase()) {
+            case PROBE ->
+                Either.right(new Envelope(
+                        sender,
+                        receiver,
+                        new PeerMessage.Probe(
+                                message.getProbe().getSequence(),
+                                decode(message.getProbe().getPosition()))));
+            case PROBE_REPLY -> Either.right(new Envelope(sender, receiver, decode(message.getProbeReply())));
+            case STATE_ASK -> Either.right(new Envelope(sender, receiver, new PeerMessage.StateAsk()));
+            case STATE_REPLY -> Either.right(new Envelope(sender, receiver, decode(message.getStateReply())));
+            case GRANT_ASK -> Either.right(new Envelope(sender, receiver, GrantCodec.decode(message.getGrantAsk())));
+            case GRANT_REPLY ->
+                Either.right(new Envelope(sender, receiver, GrantCodec.decode(message.getGrantReply())));
+            case KIND_NOT_SET -> Either.left("a message of " + sender + " is of no kind that this version knows");
+        };
+    }
+
+    private static PositionMessage encode(PeerMessage.Position position) {
+        return PositionMessage.newBuilder()
+                .setThrough(position.through())
+                .setDigest(position.digest())
+                .build();
+    }
+
+    private static PeerMessage.Position decode(PositionMessage message) {
+        return new PeerMessage.Position(message.getThrough(), message.getDigest());
+    }
+
+    private static ProbeReplyMessage encode(PeerMessage.ProbeReply reply) {
+        ProbeReplyMessage.Builder message = ProbeReplyMessage.newBuilder()
+                .setSequence(reply.sequence())
+                .setPosition(encode(reply.position()))
+                .setLogReachable(reply.logReachable())
+                .setReady(reply.ready());
+        reply.tailAge().ifPresent(age -> message.setTailAge(TimeCodec.encode(age)));
+        return message.build();
+    }
+
+    private static PeerMessage.ProbeReply decode(ProbeReplyMessage message) {
+        Optional<Duration> tailAge =
+                message.hasTailAge() ? Optional.of(TimeCodec.decode(message.getTailAge())) : Optional.empty();
+        return new PeerMessage.ProbeReply(
+                message.getSequence(),
+                decode(message.getPosition()),
+                tailAge,
+                message.getLogReachable(),
+                message.getReady());
+    }
+
+    private static StateReplyMessage encode(PeerMessage.StateReply reply) {
+        return StateReplyMessage.newBuilder()
+                .setThrough(reply.through())
+                .addAllEntries(ControlCodec.encodeEntries(reply.entries()))
+                .addAllMembers(ControlCodec.encodeMembers(reply.members()))
+                .build();
+    }
+
+    private static PeerMessage.StateReply decode(StateReplyMessage message) {
+        return new PeerMessage.StateReply(
+                message.getThrough(),
+                ControlCodec.decodeEntries(message.getEntriesList()),
+                ControlCodec.decodeMembers(message.getMembersList()));
+    }
+}
