--- /dev/null
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/DialledConnection.java
@@ -0,0 +1,72 @@
+package org.wagtaillug.link;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import org.wagtaillug.id.VmId;
+
+/**
+ * The sending end of a connection to a peer.
+ *
+ * <p>Something between the two ends may lose track of a connection: the socket stays open, nothing gets through any
+ * more, and no error ever comes, while new connections work. It shows as messages that are never acknowledged. Closing
+ * the connection then is safe, since messages between nodes may be lost anyway, and the new one works.
+ */
+final class DialledConnection extends ChannelDuplexHandler {
+    private static final Logger LOGGER = System.getLogger(DialledConnection.class.getName());
+
+    private final VmId peer;
+    private final LinkMeter meter;
+    private final Backoff backoff;
+    private final Silence silence;
+
+    DialledConnection(VmId peer, LinkMeter meter, Backoff backoff, Duration longestSilence) {
+        this.peer = peer;
+        this.meter = meter;
+        this.backoff = backoff;
+        this.silence = new Silence(longestSilence);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        silence.written(System.nanoTime());
+        context.write(message, promise);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        silence.heard();
+        backoff.reset();
+        boolean empty = message instanceof ByteBuf frame && !frame.isReadable();
+        ReferenceCountUtil.release(message);
+        if (empty) {
+            return;
+        }
+        meter.malformed.increment();
+        LOGGER.log(Level.WARNING, "closed the connection to {0}: it sent more than acknowledgements", peer);
+        context.close();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent && silence.tooLong(System.nanoTime())) {
+            meter.silent.increment();
+            LOGGER.log(Level.INFO, "closed the connection to {0}: it has fallen silent", peer);
+            context.close();
+            return;
+        }
+        context.fireUserEventTriggered(event);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        LOGGER.log(Level.DEBUG, "closed the connection to " + peer, cause);
+        context.close();
+    }
+}
--- /dev/null
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/Dialler.java
@@ -0,0 +1,127 @@
+package org.wagtaillug.link;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.wagtaillug.id.VmId;
+
+/**
+ * Keeps one connection to one peer: makes it, and makes it anew whenever it ends, until it is closed. Apart from
+ * {@link #send}, everything happens on one event loop.
+ */
+final class Dialler {
+    /** Acknowledgements come several times within the longest silence, so a check this often is in time. */
+    private static final int CHECKS_PER_SILENCE = 4;
+
+    private final VmId peer;
+    private final InetSocketAddress address;
+    private final Bootstrap bootstrap;
+    private final Consumer<SocketChannel> security;
+    private final LinkMeter meter;
+    private final Duration longestSilence;
+    private final EventLoop eventLoop;
+    private final Backoff backoff = new Backoff();
+    private volatile Optional<Channel> connection = Optional.empty();
+    private volatile boolean closed;
+
+    Dialler(
+            VmId peer,
+            InetSocketAddress address,
+            Bootstrap template,
+            Consumer<SocketChannel> security,
+            LinkMeter meter,
+            Duration longestSilence) {
+        this.peer = peer;
+        this.address = address;
+        this.security = security;
+        this.meter = meter;
+        this.longestSilence = longestSilence;
+        this.eventLoop = (EventLoop) template.config().group().next();
+        this.bootstrap = template.clone(eventLoop).handler(new Initializer());
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    boolean connected() {
+        return connection.isPresent();
+    }
+
+    void start() {
+        eventLoop.execute(this::connect);
+    }
+
+    /** Sends bytes if a connection stands and its outbound buffer has room; tells whether it did. */
+    boolean send(byte[] bytes) {
+        Optional<Channel> current = connection;
+        if (current.isEmpty() || !current.get().isWritable()) {
+            return false;
+        }
+        Channel channel = current.get();
+        channel.writeAndFlush(Unpooled.wrappedBuffer(bytes), channel.voidPromise());
+        return true;
+    }
+
+    void close() {
+        closed = true;
+        eventLoop.execute(() -> connection.ifPresent(Channel::close));
+    }
+
+    private void connect() {
+        if (closed) {
+            return;
+        }
+        ChannelFuture attempt = bootstrap.connect(address);
+        attempt.addListener(ignored -> connectEnded(attempt));
+    }
+
+    private void connectEnded(ChannelFuture attempt) {
+        if (!attempt.isSuccess()) {
+            connectLater();
+            return;
+        }
+        Channel channel = attempt.channel();
+        if (closed) {
+            channel.close();
+            return;
+        }
+        connection = Optional.of(channel);
+        channel.closeFuture().addListener(ignored -> connectionEnded());
+    }
+
+    private void connectionEnded() {
+        connection = Optional.empty();
+        connectLater();
+    }
+
+    private void connectLater() {
+        if (closed || eventLoop.isShuttingDown()) {
+            return;
+        }
+        eventLoop.schedule(this::connect, backoff.take().toNanos(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Builds the pipeline of each new connection. */
+    private final class Initializer extends ChannelInitializer<SocketChannel> {
+        @Override
+        protected void initChannel(SocketChannel channel) {
+            channel.pipeline().addLast(meter);
+            security.accept(channel);
+            Frames.addTo(channel.pipeline());
+            long check = longestSilence.dividedBy(CHECKS_PER_SILENCE).toNanos();
+            channel.pipeline().addLast(new IdleStateHandler(check, 0, 0, TimeUnit.NANOSECONDS));
+            channel.pipeline().addLast(new DialledConnection(peer, meter, backoff, longestSilence));
+        }
+    }
+}
--- /dev/null
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/PeerLinkTest.java
@@ -0,0 +1,306 @@
+package org.wagtaillug.link;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Try;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.wagtaillug.contract.Body;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.log.LogRecord;
+import org.wagtaillug.message.PeerMessage;
+
+@Timeout(60)
+class PeerLinkTest {
+    private static final NodeId LEFT = new NodeId(new VmId("entry-1"), 1);
+    private static final NodeId RIGHT = new NodeId(new VmId("entry-2"), 1);
+    private static final String HOST = "127.0.0.1";
+
+    private final Deque<AutoCloseable> opened = new ArrayDeque<>();
+    private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void closeAll() throws Exception {
+        while (!opened.isEmpty()) {
+            opened.pop().close();
+        }
+    }
+
+    @Test
+    void carriesMessagesBothWays() throws Exception {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+        PeerLink right = open(PeerLink.builder(RIGHT).bind(HOST, 0));
+        left.peers(List.of(member(RIGHT, right.port())));
+        right.seeds(Map.of(LEFT.vm(), address(left.port())));
+
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(1));
+        assertThat(next()).isEqualTo("entry-2#1 got 1 of entry-1#1");
+        sendAsSoonAsPossible(right, LEFT.vm(), probe(2));
+        assertThat(next()).isEqualTo("entry-1#1 got 2 of entry-2#1");
+        assertThat(left.counters().messagesOut()).isEqualTo(1);
+        assertThat(left.counters().messagesIn()).isEqualTo(1);
+        assertThat(left.counters().bytesOut()).isPositive();
+        assertThat(right.counters().connections()).isEqualTo(1);
+    }
+
+    @Test
+    void dropsAndCountsWhatIsForAPeerThatItDoesNotKnow() {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+
+        assertThat(left.send(RIGHT.vm(), probe(1))).isFalse();
+        assertThat(left.counters().dropped()).isEqualTo(1);
+    }
+
+    @Test
+    void closesTheConnectionToANodeThatIsNoLongerNamed() {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+        PeerLink right = open(PeerLink.builder(RIGHT).bind(HOST, 0));
+        left.peers(List.of(member(RIGHT, right.port())));
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(1));
+
+        left.peers(List.of());
+
+        assertThat(left.send(RIGHT.vm(), probe(2))).isFalse();
+        assertThat(left.counters().connections()).isZero();
+    }
+
+    /**
+     * A node acts on grants that were meant for the VM that had its address before. The platform gave a replaced VM's
+     * address to a new one, and a peer with an old roster still sends there.
+     */
+    @Test
+    void dropsWhatIsMeantForTheVmThatHadTheAddressBefore() throws Exception {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+        PeerLink right = open(PeerLink.builder(RIGHT).bind(HOST, 0));
+        VmId replaced = new VmId("entry-0");
+        left.seeds(Map.of(replaced, address(right.port()), RIGHT.vm(), address(right.port())));
+
+        sendAsSoonAsPossible(left, replaced, probe(1));
+        await(() -> right.counters().foreign() == 1);
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(2));
+
+        assertThat(next()).isEqualTo("entry-2#1 got 2 of entry-1#1");
+    }
+
+    /**
+     * A port scanner or a faulty program writes nonsense to the nodes' port and the nodes stop hearing one another. Its
+     * bytes must end its own connection only.
+     */
+    @Test
+    void aMalformedFrameClosesItsOwnConnectionOnly() throws Exception {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+        PeerLink right = open(PeerLink.builder(RIGHT).bind(HOST, 0));
+        left.peers(List.of(member(RIGHT, right.port())));
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(1));
+        next();
+
+        assertThat(answerTo(right.port(), Integer.MAX_VALUE, new byte[0])).isEqualTo(-1);
+        assertThat(answerTo(right.port(), 3, new byte[] {1, 2, 3})).isEqualTo(-1);
+
+        assertThat(left.send(RIGHT.vm(), probe(2))).isTrue();
+        assertThat(next()).isEqualTo("entry-2#1 got 2 of entry-1#1");
+        assertThat(right.counters().malformed()).isEqualTo(2);
+    }
+
+    /** A node's VM is replaced at the same address; its peers must find the new one without being told. */
+    @Test
+    void connectsAnewAfterThePeerHasRestarted() throws Exception {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+        PeerLink right = openUnregistered(PeerLink.builder(RIGHT).bind(HOST, 0));
+        int port = right.port();
+        left.peers(List.of(member(RIGHT, port)));
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(1));
+        next();
+
+        right.close();
+        await(() -> left.counters().connections() == 0);
+        open(PeerLink.builder(new NodeId(RIGHT.vm(), 2)).bind(HOST, port));
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(2));
+
+        assertThat(next()).isEqualTo("entry-2#2 got 2 of entry-1#1");
+    }
+
+    /**
+     * Two nodes no longer hear each other though both are well and new connections work. Something between them has
+     * lost track of the open connection: it takes bytes and no error ever comes. Here a socket that is accepted and
+     * never answered stands for it.
+     */
+    @Test
+    void replacesAConnectionThatHasFallenSilent() throws Exception {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName(HOST));
+        opened.push(listener);
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0).longestSilence(Duration.ofMillis(200)));
+        left.seeds(Map.of(RIGHT.vm(), address(listener.getLocalPort())));
+        Socket first = listener.accept();
+        opened.push(first);
+
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(1));
+
+        opened.push(listener.accept());
+        assertThat(left.counters().silent()).isEqualTo(1);
+    }
+
+    /** An idle connection must not be taken for a silent one, or a quiet fleet would connect anew all the time. */
+    @Test
+    void aConnectionThatIsAnsweredIsNotSilent() throws Exception {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0).longestSilence(Duration.ofMillis(400)));
+        PeerLink right = open(PeerLink.builder(RIGHT).bind(HOST, 0).longestSilence(Duration.ofMillis(400)));
+        left.peers(List.of(member(RIGHT, right.port())));
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(1));
+        long before = left.counters().bytesIn();
+
+        await(() -> left.counters().bytesIn() > before);
+
+        assertThat(left.counters().silent()).isZero();
+    }
+
+    @Test
+    void dropsAMessageThatIsTooLargeForAFrame() {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+        PeerLink right = open(PeerLink.builder(RIGHT).bind(HOST, 0));
+        left.peers(List.of(member(RIGHT, right.port())));
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(1));
+        LogRecord.StateEntry large =
+                new LogRecord.StateEntry("k", 1, new Body.Unknown("text", "x".repeat(Frames.LARGEST)));
+
+        assertThat(left.send(RIGHT.vm(), new PeerMessage.StateReply(1, List.of(large), List.of())))
+                .isFalse();
+    }
+
+    /** A peer that reads nothing must not let the messages to it pile up without bound. */
+    @Test
+    void dropsWhenTheOutboundBufferIsFull() throws Exception {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName(HOST));
+        opened.push(listener);
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+        left.seeds(Map.of(RIGHT.vm(), address(listener.getLocalPort())));
+        LogRecord.StateEntry entry = new LogRecord.StateEntry("k", 1, new Body.Unknown("text", "x".repeat(500_000)));
+        PeerMessage large = new PeerMessage.StateReply(1, List.of(entry), List.of());
+        sendAsSoonAsPossible(left, RIGHT.vm(), large);
+        opened.push(listener.accept());
+
+        await(() -> !left.send(RIGHT.vm(), large));
+
+        assertThat(left.counters().connections()).isEqualTo(1);
+    }
+
+    @Test
+    void carriesMessagesUnderMutualTls() throws Exception {
+        LinkTls tls = new LinkTls(resource("node-key.pem"), resource("node.pem"), resource("authority.pem"));
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0).tls(tls));
+        PeerLink right = open(PeerLink.builder(RIGHT).bind(HOST, 0).tls(tls));
+        left.peers(List.of(member(RIGHT, right.port())));
+
+        sendAsSoonAsPossible(left, RIGHT.vm(), probe(1));
+
+        assertThat(next()).isEqualTo("entry-2#1 got 1 of entry-1#1");
+    }
+
+    /** A stranger on the network must not be able to speak as a node where TLS is set. */
+    @Test
+    void refusesAPeerWithoutACertificateOfTheAuthority() throws Exception {
+        LinkTls tls = new LinkTls(resource("node-key.pem"), resource("node.pem"), resource("authority.pem"));
+        LinkTls foreign =
+                new LinkTls(resource("stranger-key.pem"), resource("stranger.pem"), resource("authority.pem"));
+        PeerLink right = open(PeerLink.builder(RIGHT).bind(HOST, 0).tls(tls));
+        PeerLink plain = open(PeerLink.builder(LEFT).bind(HOST, 0));
+        PeerLink stranger = open(PeerLink.builder(LEFT).bind(HOST, 0).tls(foreign));
+        plain.peers(List.of(member(RIGHT, right.port())));
+        stranger.peers(List.of(member(RIGHT, right.port())));
+
+        sendAsSoonAsPossible(plain, RIGHT.vm(), probe(1));
+        sendAsSoonAsPossible(stranger, RIGHT.vm(), probe(2));
+
+        await(() -> right.counters().malformed() >= 2);
+        assertThat(right.counters().messagesIn()).isZero();
+        assertThat(received).isEmpty();
+    }
+
+    @Test
+    void saysWhenTheAddressCannotBeHad() {
+        PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
+
+        Try<PeerLink> second = PeerLink.builder(RIGHT)
+                .bind(HOST, left.port())
+                .handler((sender, message) -> {})
+                .open();
+
+        assertThat(second.isFailure()).isTrue();
+    }
+
+    private PeerLink open(PeerLink.Builder builder) {
+        PeerLink link = openUnregistered(builder);
+        opened.push(link);
+        return link;
+    }
+
+    private PeerLink openUnregistered(PeerLink.Builder builder) {
+        NodeId[] self = new NodeId[1];
+        PeerLink link = builder.handler((sender, message) -> {
+                    PeerMessage.Probe probe = (PeerMessage.Probe) message;
+                    received.add(self[0] + " got " + probe.sequence() + " of " + sender);
+                })
+                .open()
+                .get();
+        self[0] = link.self();
+        return link;
+    }
+
+    private String next() throws InterruptedException {
+        return received.poll(30, TimeUnit.SECONDS);
+    }
+
+    private static void sendAsSoonAsPossible(PeerLink link, VmId receiver, PeerMessage message) {
+        await(() -> link.send(receiver, message));
+    }
+
+    private static void await(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static int answerTo(int port, int length, byte[] content) throws IOException {
+        try (Socket socket = new Socket(HOST, port)) {
+            DataOutputStream output = new DataOutputStream(socket.getOutputStream());
+            output.writeInt(length);
+            output.write(content);
+            output.flush();
+            return socket.getInputStream().read();
+        }
+    }
+
+    private static Path resource(String name) throws Exception {
+        return Path.of(PeerLinkTest.class.getResource("/tls/" + name).toURI());
+    }
+
+    private static PeerMessage.Probe probe(long sequence) {
+        return new PeerMessage.Probe(sequence, new PeerMessage.Position(7, 42));
+    }
+
+    private static LogRecord.NodeAddress address(int port) {
+        return new LogRecord.NodeAddress(HOST, port, new DomainId("pl-a"));
+    }
+
+    private static LogRecord.StateMember member(NodeId node, int port) {
+        return new LogRecord.StateMember(node, 1, address(port));
+    }
+}
