--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/claim/Refusals.java
@@ -0,0 +1,73 @@
+package org.wagtaillug.claim;
+
+import java.time.Duration;
+import org.wagtaillug.id.IdempotencyKey;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.result.Refusal;
+import org.wagtaillug.result.ResultCode;
+
+/** The refusals of requests with an idempotency key, in words for the caller. */
+final class Refusals {
+    private static final Duration SOON = Duration.ofSeconds(1);
+    private static final Duration LATER = Duration.ofSeconds(5);
+    private static final Duration NEVER = Duration.ZERO;
+
+    private Refusals() {}
+
+    static Refusal logUnavailable(IdempotencyKey key) {
+        return Refusal.notRun(
+                ResultCode.LOG_UNAVAILABLE,
+                SOON,
+                "the log service, which has to record key " + key.identity()
+                        + " first, is not reachable; this request was not run and will not be;"
+                        + " expected a retry with the same key");
+    }
+
+    static Refusal tooOld(IdempotencyKey key) {
+        return Refusal.notRun(
+                ResultCode.KEY_TOO_OLD,
+                NEVER,
+                "key " + key.identity() + " of " + key.issuedAt()
+                        + " is older than what the log still holds; this request was not run;"
+                        + " whether one with this key ran before is no longer known");
+    }
+
+    static Refusal tooNew(IdempotencyKey key) {
+        return Refusal.notRun(
+                ResultCode.MALFORMED,
+                NEVER,
+                "key " + key.identity() + " was issued at " + key.issuedAt()
+                        + ", which is ahead of this node's clock; expected at most " + KeyAge.LARGEST_LEAD.toMinutes()
+                        + " minutes ahead");
+    }
+
+    static Refusal deadlinePassed(IdempotencyKey key) {
+        return Refusal.notRun(
+                ResultCode.DEADLINE_PASSED,
+                NEVER,
+                "the deadline of the request with key " + key.identity() + " had passed on arrival");
+    }
+
+    static Refusal reused(IdempotencyKey key) {
+        return Refusal.notRun(
+                ResultCode.KEY_REUSED,
+                NEVER,
+                "key " + key.identity()
+                        + " was used for another template or body; expected a key of its own for each thing to do");
+    }
+
+    static Refusal inProgress(IdempotencyKey key) {
+        return Refusal.unknown(
+                ResultCode.KEY_IN_PROGRESS,
+                SOON,
+                "another request with key " + key.identity() + " is being run; its outcome is not known yet");
+    }
+
+    static Refusal holderGone(IdempotencyKey key, NodeId holder) {
+        return Refusal.unknown(
+                ResultCode.OUTCOME_UNKNOWN,
+                LATER,
+                "key " + key.identity() + " was being run by " + holder
+                        + ", which is no longer heard; whether it took effect is not known");
+    }
+}
