--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ChangeCommands.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ChangeCommands.java
@@ -96,13 +96,18 @@
         return outOrBack("domain", "DOMAIN", command.words())
                 .flatMap(out -> named(command.words().get(1), DomainId::new)
                         .flatMap(domain -> service(
-                                "domain", domain.value(), new Body.DomainService(domain, out), command.change())));
+                                "domain",
+                                domain.value(),
+                                new Body.DomainService(domain, out),
+                                command.unlisted(),
+                                command.change())));
     }
 
     Either<ToolFailure, Result> vm(Command.Vm command) {
         return outOrBack("vm", "VM", command.words())
                 .flatMap(out -> named(command.words().get(1), VmId::new)
-                        .flatMap(vm -> service("vm", vm.value(), new Body.VmService(vm, out), command.change())));
+                        .flatMap(vm -> service(
+                                "vm", vm.value(), new Body.VmService(vm, out), command.unlisted(), command.change())));
     }
 
     private static <T> Either<ToolFailure, T> named(String name, Function<String, T> type) {
@@ -123,9 +128,10 @@
     }
 
     /** A mistyped name would be taken out and the right one would go on, so that a new name must be one that is seen. */
-    private Either<ToolFailure, Result> service(String field, String name, Body body, Command.ChangeOptions options) {
+    private Either<ToolFailure, Result> service(
+            String field, String name, Body body, boolean unlisted, Command.ChangeOptions options) {
         return ConfigurationView.read(client).flatMap(view -> {
-            if (view.entry(body.key()).isPresent() || options.unlisted()) {
+            if (view.entry(body.key()).isPresent() || unlisted) {
                 return apply(List.of(new Wanted(body.key(), body)), view, options);
             }
             return seen(field).flatMap(names -> {
--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/Command.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/Command.java
@@ -18,6 +18,7 @@
     sealed interface Online extends Command {}
 
     /** How a change is sent and waited for. */
+    @Parameters(separators = "=")
     final class ChangeOptions {
         @Parameter(
                 names = "--base",
@@ -27,12 +28,9 @@
         @Parameter(names = "--wait", description = "Waits until every live node has the change in force")
         private boolean waits;
 
-        @Parameter(names = "--timeout", description = "The longest wait. Default: 5s")
+        @Parameter(names = "--timeout", description = "The longest wait for an outcome, and for it to be in force")
         private String timeout = "5s";
 
-        @Parameter(names = "--unlisted", description = "Accepts a failure domain or VM that no node has seen")
-        private boolean unlisted;
-
         Long base() {
             return base;
         }
@@ -44,16 +42,12 @@
         String timeout() {
             return timeout;
         }
-
-        boolean unlisted() {
-            return unlisted;
-        }
     }
 
     /** Makes what files hold the configuration in force. */
-    @Parameters(commandDescription = "Publishes templates, customers, pools and placements")
+    @Parameters(commandDescription = "Publishes templates, customers, pools and placements", separators = "=")
     final class Publish implements Online {
-        @Parameter(description = "FILE...", required = true)
+        @Parameter(description = "FILE...")
         private List<String> files = new ArrayList<>();
 
         @ParametersDelegate
@@ -74,9 +68,11 @@
     }
 
     /** Checks files without a node. */
-    @Parameters(commandDescription = "Checks files of contracts or of a node's settings; asks no node")
+    @Parameters(
+            commandDescription = "Checks files of contracts or of a node's settings; asks no node",
+            separators = "=")
     final class Validate implements Offline {
-        @Parameter(description = "FILE...", required = true)
+        @Parameter(description = "FILE...")
         private List<String> files = new ArrayList<>();
 
         @Override
@@ -90,9 +86,9 @@
     }
 
     /** Compares files with what is in force. */
-    @Parameters(commandDescription = "Shows what publishing the files would change")
+    @Parameters(commandDescription = "Shows what publishing the files would change", separators = "=")
     final class Diff implements Online {
-        @Parameter(description = "FILE...", required = true)
+        @Parameter(description = "FILE...")
         private List<String> files = new ArrayList<>();
 
         @Override
@@ -106,7 +102,7 @@
     }
 
     /** Shows what is in force. */
-    @Parameters(commandDescription = "Shows the configuration in force, or one key of it")
+    @Parameters(commandDescription = "Shows the configuration in force, or one key of it", separators = "=")
     final class Show implements Online {
         @Parameter(description = "[KEY]")
         private List<String> keys = new ArrayList<>();
@@ -122,9 +118,9 @@
     }
 
     /** Takes a key out of the configuration. */
-    @Parameters(commandDescription = "Removes a key from the configuration")
+    @Parameters(commandDescription = "Removes a key from the configuration", separators = "=")
     final class Remove implements Online {
-        @Parameter(description = "KEY", required = true)
+        @Parameter(description = "KEY")
         private List<String> keys = new ArrayList<>();
 
         @ParametersDelegate
@@ -145,11 +141,14 @@
     }
 
     /** Takes a failure domain out of service or brings it back. */
-    @Parameters(commandDescription = "Takes a failure domain out of service or brings it back")
+    @Parameters(commandDescription = "Takes a failure domain out of service or brings it back", separators = "=")
     final class Domain implements Online {
-        @Parameter(description = "out|back DOMAIN", required = true)
+        @Parameter(description = "out|back DOMAIN")
         private List<String> words = new ArrayList<>();
 
+        @Parameter(names = "--unlisted", description = "Accepts a name that no node has seen")
+        private boolean unlisted;
+
         @ParametersDelegate
         private ChangeOptions change = new ChangeOptions();
 
@@ -158,6 +157,10 @@
             return "domain";
         }
 
+        boolean unlisted() {
+            return unlisted;
+        }
+
         List<String> words() {
             return words;
         }
@@ -168,11 +171,14 @@
     }
 
     /** Takes a VM out of service or brings it back. */
-    @Parameters(commandDescription = "Takes a VM out of service or brings it back")
+    @Parameters(commandDescription = "Takes a VM out of service or brings it back", separators = "=")
     final class Vm implements Online {
-        @Parameter(description = "out|back VM", required = true)
+        @Parameter(description = "out|back VM")
         private List<String> words = new ArrayList<>();
 
+        @Parameter(names = "--unlisted", description = "Accepts a name that no node has seen")
+        private boolean unlisted;
+
         @ParametersDelegate
         private ChangeOptions change = new ChangeOptions();
 
@@ -181,6 +187,10 @@
             return "vm";
         }
 
+        boolean unlisted() {
+            return unlisted;
+        }
+
         List<String> words() {
             return words;
         }
@@ -191,7 +201,7 @@
     }
 
     /** Shows the nodes. */
-    @Parameters(commandDescription = "Shows the nodes and how far each has read the configuration")
+    @Parameters(commandDescription = "Shows the nodes and how far each has read the configuration", separators = "=")
     final class Nodes implements Online {
         @Override
         public String name() {
@@ -200,7 +210,7 @@
     }
 
     /** Shows the upstreams. */
-    @Parameters(commandDescription = "Shows the upstreams with their load and owners")
+    @Parameters(commandDescription = "Shows the upstreams with their load and owners", separators = "=")
     final class Upstreams implements Online {
         @Override
         public String name() {
@@ -209,7 +219,7 @@
     }
 
     /** Shows who owns what. */
-    @Parameters(commandDescription = "Shows which node owns which upstream")
+    @Parameters(commandDescription = "Shows which node owns which upstream", separators = "=")
     final class Ownership implements Online {
         @Override
         public String name() {
@@ -218,7 +228,7 @@
     }
 
     /** Shows what is in flight. */
-    @Parameters(commandDescription = "Shows the requests in flight at the node")
+    @Parameters(commandDescription = "Shows the requests in flight at the node", separators = "=")
     final class Requests implements Online {
         @Override
         public String name() {
@@ -227,9 +237,9 @@
     }
 
     /** Explains one request. */
-    @Parameters(commandDescription = "Shows what the nodes decided about a request, and why")
+    @Parameters(commandDescription = "Shows what the nodes decided about a request, and why", separators = "=")
     final class Why implements Online {
-        @Parameter(description = "REQUEST", required = true)
+        @Parameter(description = "REQUEST")
         private List<String> requests = new ArrayList<>();
 
         @Override
@@ -243,9 +253,9 @@
     }
 
     /** Compares what the nodes hold. */
-    @Parameters(commandDescription = "Shows the digest of the configuration of every --node")
+    @Parameters(commandDescription = "Shows the digest of the configuration of every --node", separators = "=")
     final class Config implements Online {
-        @Parameter(description = "digest", required = true)
+        @Parameter(description = "digest")
         private List<String> words = new ArrayList<>();
 
         @Override
@@ -259,9 +269,9 @@
     }
 
     /** Helps a shell. */
-    @Parameters(commandDescription = "Prints a script that completes commands and long options")
+    @Parameters(commandDescription = "Prints a script that completes commands and long options", separators = "=")
     final class Completion implements Offline {
-        @Parameter(description = "bash", required = true)
+        @Parameter(description = "bash")
         private List<String> shells = new ArrayList<>();
 
         @Override
--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/CommandLine.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/CommandLine.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterDescription;
 import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import io.vavr.control.Either;
 import java.util.ArrayList;
@@ -12,12 +13,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import org.wagtaillug.settings.NearestName;
 
 /** Reads the arguments. Long names of options may be cut short as long as they stay unmistakable. */
 final class CommandLine {
     static final String PROGRAM = "wagtaillugctl";
 
+    private static final String VERSION = "--version";
+    private static final int GAP = 2;
+
     private final ConnectionOptions connection = new ConnectionOptions();
     private final GlobalOptions global = new GlobalOptions(connection);
     private final Map<String, Command> commands = new LinkedHashMap<>();
@@ -40,11 +46,12 @@
     }
 
     /** The options that stand before a command. */
+    @Parameters(separators = "=")
     private static final class GlobalOptions {
         @ParametersDelegate
         private final ConnectionOptions connection;
 
-        @Parameter(names = "--version", description = "Shows the version")
+        @Parameter(names = VERSION, description = "Shows the version")
         private boolean version;
 
         GlobalOptions(ConnectionOptions connection) {
@@ -92,6 +99,10 @@
     }
 
     Either<ToolFailure, Wish> parse(String[] arguments) {
+        Optional<ToolFailure> unknownOption = unknownOption(arguments);
+        if (unknownOption.isPresent()) {
+            return Either.left(unknownOption.get());
+        }
         try {
             parser.parse(arguments);
         } catch (MissingCommandException fault) {
@@ -112,9 +123,66 @@
         if (!List.of("text", "json").contains(connection.output())) {
             return Either.left(usage("--output: found \"" + connection.output() + "\"; expected text or json"));
         }
+        Optional<String> missing = missingArgument(parser.getCommands().get(name));
+        if (missing.isPresent()) {
+            return Either.left(usage(name + ": found no argument; expected " + missing.get()));
+        }
         return Either.right(new Wish.Run(commands.get(name), connection));
     }
 
+    /** What a command needs and was not given; descriptions of arguments that may be left out begin with a bracket. */
+    private static Optional<String> missingArgument(JCommander command) {
+        ParameterDescription main = command.getMainParameterValue();
+        if (main == null || main.getDescription().startsWith("[")) {
+            return Optional.empty();
+        }
+        List<?> given = (List<?>) main.getParameterized().get(main.getObject());
+        return given.isEmpty() ? Optional.of(main.getDescription()) : Optional.empty();
+    }
+
+    /**
+     * Looks for a mistyped option before the arguments are parsed: a command that takes a list would take it for a file.
+     */
+    private Optional<ToolFailure> unknownOption(String[] arguments) {
+        Map<String, Boolean> takesValue = takesValue();
+        boolean value = false;
+        for (String argument : arguments) {
+            if (value || !argument.startsWith("-")) {
+                value = false;
+                continue;
+            }
+            String name = argument.contains("=") ? argument.substring(0, argument.indexOf('=')) : argument;
+            Optional<String> option = takesValue.keySet().stream()
+                    .filter(known -> name.startsWith("--") && known.startsWith(name))
+                    .findFirst();
+            if (option.isEmpty()) {
+                return Optional.of(unknownOption(name, takesValue.keySet()));
+            }
+            value = takesValue.get(option.get()) && !argument.contains("=");
+        }
+        return Optional.empty();
+    }
+
+    private static ToolFailure unknownOption(String name, Set<String> known) {
+        String expected = "found the option \"" + name + "\"; expected one of " + String.join(", ", known);
+        Optional<String> nearest = NearestName.of(name, known);
+        return usage(expected
+                + nearest.map(option -> "; did you mean \"" + option + "\"?").orElse(""));
+    }
+
+    /** All options, and whether a value follows each. */
+    private Map<String, Boolean> takesValue() {
+        Map<String, Boolean> options = new TreeMap<>();
+        options.put(VERSION, false);
+        for (JCommander each : parser.getCommands().values()) {
+            for (ParameterDescription parameter : each.getParameters()) {
+                boolean flag = parameter.getParameterized().getType() == boolean.class;
+                options.put(parameter.getLongestName(), !flag);
+            }
+        }
+        return options;
+    }
+
     private ToolFailure unknownCommand(String found) {
         String expected =
                 "found the command \"" + found + "\"; expected one of " + String.join(", ", commands.keySet());
@@ -128,15 +196,33 @@
     }
 
     private String help(Optional<String> command) {
-        StringBuilder text = new StringBuilder();
-        if (command.isPresent()) {
-            parser.getUsageFormatter().usage(command.get(), text);
-        } else {
-            parser.getUsageFormatter().usage(text);
+        if (command.isEmpty()) {
+            return generalHelp();
         }
+        StringBuilder text = new StringBuilder();
+        parser.getUsageFormatter().usage(command.get(), text);
         return text.toString().stripTrailing();
     }
 
+    private String generalHelp() {
+        StringBuilder text = new StringBuilder();
+        text.append("Usage: ").append(PROGRAM).append(" [options] COMMAND [arguments]\n\nCommands:\n");
+        int width = commands.keySet().stream().mapToInt(String::length).max().orElse(0);
+        for (String name : commands.keySet()) {
+            String padding = " ".repeat(width - name.length() + GAP);
+            String description = parser.getUsageFormatter().getCommandDescription(name);
+            text.append("  ").append(name).append(padding).append(description).append('\n');
+        }
+        text.append("\nOptions, before or after the command:\n");
+        for (ParameterDescription option : parser.getParameters()) {
+            text.append("  ").append(option.getLongestName()).append("\n      ");
+            text.append(option.getDescription()).append('\n');
+        }
+        text.append("\nExit codes: 0 ok; 1 failed, refused or not known; 2 wrong usage.\n");
+        text.append("More of one command: ").append(PROGRAM).append(" COMMAND --help");
+        return text.toString();
+    }
+
     /** The long options of each command, for completion. */
     Map<String, List<String>> optionsByCommand() {
         Map<String, List<String>> options = new LinkedHashMap<>();
--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ConnectionOptions.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ConnectionOptions.java
@@ -1,10 +1,11 @@
 package org.wagtaillug.tool;
 
 import com.beust.jcommander.Parameter;
-import java.util.ArrayList;
+import com.beust.jcommander.Parameters;
 import java.util.List;
 
 /** The options that every command takes; one object holds them, whether they stand before or after the command. */
+@Parameters(separators = "=")
 final class ConnectionOptions {
     static final String NODE_VARIABLE = "WAGTAILLUG_NODE";
     static final String TOKEN_VARIABLE = "WAGTAILLUG_TOKEN";
@@ -13,7 +14,7 @@
             names = "--node",
             description = "URL of a node's administration interface; may be repeated, the next one is tried when one "
                     + "does not answer. Default: the variable WAGTAILLUG_NODE, URLs with commas between")
-    private List<String> nodes = new ArrayList<>();
+    private List<String> nodes;
 
     @Parameter(names = "--token", description = "The token to show. Default: the variable WAGTAILLUG_TOKEN")
     private String token;
@@ -21,14 +22,14 @@
     @Parameter(names = "--trust", description = "PEM file of certificates to trust beside those of the system")
     private String trust;
 
-    @Parameter(names = "--output", description = "text or json. Default: text")
+    @Parameter(names = "--output", description = "text or json")
     private String output = "text";
 
     @Parameter(names = "--help", help = true, description = "Says how to use the tool or the command")
     private boolean help;
 
     List<String> nodes() {
-        return nodes;
+        return nodes == null ? List.of() : nodes;
     }
 
     String token() {
