--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/DocumentReader.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/DocumentReader.java
@@ -137,7 +137,8 @@
         if (indentedWithTab(line)) {
             return problem(line, DocumentPath.ROOT, "a tab in the indentation", "spaces");
         }
-        return problem(line, DocumentPath.ROOT, "text that cannot be read (" + reason + ")", "valid YAML or JSON");
+        String found = "text that cannot be read (" + Found.printable(reason) + ")";
+        return problem(line, DocumentPath.ROOT, found, "valid YAML or JSON");
     }
 
     private static String reason(MarkedYAMLException marked) {
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Found.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Found.java
@@ -21,11 +21,16 @@
     }
 
     static String quoted(String text) {
-        StringBuilder plain = new StringBuilder();
-        for (char letter : shortened(text).toCharArray()) {
-            plain.append(Character.isISOControl(letter) ? ' ' : letter);
+        return "\"" + printable(shortened(text)) + "\"";
+    }
+
+    /** The text with a space for each control character, so that a problem stays on its line. */
+    static String printable(String text) {
+        StringBuilder printable = new StringBuilder();
+        for (char letter : text.toCharArray()) {
+            printable.append(Character.isISOControl(letter) ? ' ' : letter);
         }
-        return "\"" + plain + "\"";
+        return printable.toString();
     }
 
     private static String shortened(String text) {
--- a/wagtaillug-settings/src/test/java/org/wagtaillug/settings/ContractsTest.java
+++ b/wagtaillug-settings/src/test/java/org/wagtaillug/settings/ContractsTest.java
@@ -66,6 +66,7 @@
                 "kind: domain-service\ndomain: pl-a\nout: true\n",
                 "{kind: pool, id: a}\n---\n{kind: pool, id: a}\n",
                 "{kind: pool, id: \"a\\nb\", warm_limit: .inf}\n",
+                "kind: *\nid: a\n",
                 "{kind: template, id: a, stages: [{id: a}]}\n",
                 "{kind: template, id: a, stages: [{id: a}, {id: b}]}\n",
                 "{kind: template, id: a, stages: []}\n",
--- a/wagtaillug-settings/src/test/java/org/wagtaillug/settings/SettingsPropertiesTest.java
+++ b/wagtaillug-settings/src/test/java/org/wagtaillug/settings/SettingsPropertiesTest.java
@@ -48,7 +48,7 @@
         assertThat(DurationText.parse(DurationText.format(duration))).contains(duration);
     }
 
-    @Property(seed = "20261203", tries = 400)
+    @Property(seed = "20261203", tries = 1000)
     void aDamagedFileGivesProblemsAndNoException(@ForAll long seed, @ForAll @IntRange(min = 1, max = 6) int damages)
             throws IOException {
         Random random = new Random(seed);
--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/AdministrationClient.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/AdministrationClient.java
@@ -11,6 +11,7 @@
 import java.security.GeneralSecurityException;
 import java.security.KeyStore;
 import java.security.cert.Certificate;
+import java.security.cert.CertificateException;
 import java.security.cert.CertificateFactory;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -79,7 +80,7 @@
      *
      * @param nodes base URLs, tried in this order
      * @param token shown with each call
-     * @param trust a PEM file of further certificates to trust
+     * @param trust a PEM file of certificates to trust in place of the system's
      */
     static Either<ToolFailure, AdministrationClient> start(List<String> nodes, String token, Optional<Path> trust) {
         ClientConnector connector = new ClientConnector();
@@ -114,6 +115,9 @@
                 store.setCertificateEntry("trusted-" + count, certificate);
             }
         }
+        if (count == 0) {
+            throw new CertificateException("no certificate in it");
+        }
         return store;
     }
 
--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ConnectionOptions.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ConnectionOptions.java
@@ -19,7 +19,7 @@
     @Parameter(names = "--token", description = "The token to show. Default: the variable WAGTAILLUG_TOKEN")
     private String token;
 
-    @Parameter(names = "--trust", description = "PEM file of certificates to trust beside those of the system")
+    @Parameter(names = "--trust", description = "PEM file of certificates to trust in place of the system's")
     private String trust;
 
     @Parameter(names = "--output", description = "text or json")
