--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Contracts.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/Contracts.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import org.wagtaillug.contract.Body;
 
 /**
@@ -26,7 +27,7 @@
     private static final List<String> PUBLISHED = List.of("template", "customer", "pool", "placement");
     private static final List<String> ALL =
             List.of("template", "customer", "pool", "placement", "domain-service", "vm-service", "removed", "unknown");
-    private static final Map<String, Schema> SCHEMAS = schemas();
+    private static final Map<String, Schema> SCHEMAS = new ConcurrentHashMap<>();
 
     private Contracts() {}
 
@@ -92,7 +93,7 @@
             Optional<String> nearest = NearestName.of(kind, kinds);
             return List.of(document.problem("kind", Found.of(root.get("kind")), expected, nearest));
         }
-        List<SettingsProblem> problems = new ArrayList<>(SCHEMAS.get(kind).check(document));
+        List<SettingsProblem> problems = new ArrayList<>(schema(kind).check(document));
         problems.addAll(ContractRules.check(document));
         return SettingsProblems.sorted(problems);
     }
@@ -104,11 +105,8 @@
         return Either.left(SettingsProblems.sorted(problems));
     }
 
-    private static Map<String, Schema> schemas() {
-        Map<String, Schema> schemas = new HashMap<>();
-        for (String kind : ALL) {
-            schemas.put(kind, Schema.of(RESOURCE, kind));
-        }
-        return schemas;
+    /** Made when first needed: the tool would otherwise wait for seven that it does not use. */
+    private static Schema schema(String kind) {
+        return SCHEMAS.computeIfAbsent(kind, name -> Schema.of(RESOURCE, name));
     }
 }
--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ChangeSender.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ChangeSender.java
@@ -17,6 +17,7 @@
 /** Sends one change so that it takes effect at most once, and finds out what came of it. */
 final class ChangeSender {
     private static final ObjectMapper JSON = new ObjectMapper();
+    private static final String PATH = "/admin/changes";
     private static final Duration PAUSE = Duration.ofMillis(200);
 
     private final AdministrationClient client;
@@ -76,17 +77,17 @@
         ObjectNode message = message(change);
         List<String> reasons = new ArrayList<>();
         for (String node : client.nodes()) {
-            switch (client.post(node, "/admin/changes", message)) {
+            switch (client.post(node, PATH, message)) {
                 case Exchange.Answered answered -> {
                     if (answered.status() == AdministrationClient.OK) {
                         return accepted(node, answered);
                     }
                     Answers.Refusal refusal = Answers.refusal(answered);
-                    if (refusal.run() == RunState.UNKNOWN) {
+                    if (refusal.run() != RunState.NOT_RUN) {
                         return askAgain(node, change, message, refusal.message());
                     }
                     if (refusal.crossed()) {
-                        return new Outcome.Crossed(winner(change.key()));
+                        return new Outcome.Crossed(winner(node, change.key()));
                     }
                     if (!refusal.anotherNodeMayServe()) {
                         return new Outcome.Failed(refusal.failure(node));
@@ -112,7 +113,7 @@
         Instant latest = surroundings.time().instant().plus(timeout);
         while (surroundings.time().instant().isBefore(latest)) {
             surroundings.pause().pause(PAUSE);
-            Exchange exchange = client.post(node, "/admin/changes", message);
+            Exchange exchange = client.post(node, PATH, message);
             if (!(exchange instanceof Exchange.Answered answered)) {
                 continue;
             }
@@ -141,8 +142,9 @@
         return new Outcome.Unknown(reason, entry, asSent);
     }
 
-    private Optional<Long> winner(String key) {
-        return ConfigurationView.read(client).toJavaOptional().map(view -> view.version(key));
+    /** Asks the node that refused: another one may not have read the winner yet. */
+    private Optional<Long> winner(String node, String key) {
+        return ConfigurationView.read(client, node).map(view -> view.version(key));
     }
 
     private static Outcome accepted(String node, Exchange.Answered answered) {
--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ConfigurationView.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ConfigurationView.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import org.wagtaillug.contract.Body;
 import org.wagtaillug.settings.Contracts;
+import org.wagtaillug.tool.AdministrationClient.Exchange;
 
 /**
  * The configuration as one node shows it.
@@ -16,6 +17,8 @@
  * @param entries by key, removed ones included
  */
 record ConfigurationView(long through, String digest, Map<String, Entry> entries) {
+    static final String PATH = "/admin/configuration";
+
     private static final String REMOVED = "removed";
 
     /**
@@ -35,7 +38,16 @@
     }
 
     static Either<ToolFailure, ConfigurationView> read(AdministrationClient client) {
-        return client.get("/admin/configuration").map(ConfigurationView::of);
+        return client.get(PATH).map(ConfigurationView::of);
+    }
+
+    /** What one certain node has in force; empty if it does not answer. */
+    static Optional<ConfigurationView> read(AdministrationClient client, String node) {
+        if (client.get(node, PATH) instanceof Exchange.Answered answered
+                && answered.status() == AdministrationClient.OK) {
+            return Optional.of(of(answered.body()));
+        }
+        return Optional.empty();
     }
 
     private static ConfigurationView of(JsonNode answer) {
--- a/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ViewCommands.java
+++ b/wagtaillug-tool/src/main/java/org/wagtaillug/tool/ViewCommands.java
@@ -248,13 +248,13 @@
         boolean equal = true;
         List<String> reasons = new ArrayList<>();
         for (String node : client.nodes()) {
-            if (!(client.get(node, "/admin/configuration") instanceof Exchange.Answered answered)
-                    || answered.status() != AdministrationClient.OK) {
+            Optional<ConfigurationView> view = ConfigurationView.read(client, node);
+            if (view.isEmpty()) {
                 reasons.add(node + ": no answer that holds a digest");
                 continue;
             }
-            long through = answered.body().path("through").asLong();
-            String digest = answered.body().path("digest").asText();
+            long through = view.get().through();
+            String digest = view.get().digest();
             rows.addObject().put("node", node).put("through", through).put("digest", digest);
             String other = digests.putIfAbsent(through, digest);
             equal &= other == null || other.equals(digest);
--- a/wagtaillug-tool/src/test/java/org/wagtaillug/tool/FakeAdministration.java
+++ b/wagtaillug-tool/src/test/java/org/wagtaillug/tool/FakeAdministration.java
@@ -29,6 +29,8 @@
         ANSWER_LOST,
         /** As before, and then forgets the change id, as a node that was started anew would. */
         ANSWER_LOST_AND_FORGOTTEN,
+        /** Takes the change and says that it does not know yet. */
+        OUTCOME_UNKNOWN,
         /** Refuses as a node that shuts down does. */
         SHUTTING_DOWN
     }
@@ -114,6 +116,10 @@
         if (now == Fault.ANSWER_LOST_AND_FORGOTTEN) {
             accepted.clear();
         }
+        if (now == Fault.OUTCOME_UNKNOWN) {
+            answer(exchange, 503, refusal(500, "unknown", "the log did not answer in time"));
+            return;
+        }
         if (now != Fault.NONE) {
             exchange.close();
             return;
--- a/wagtaillug-tool/src/test/java/org/wagtaillug/tool/ToolTest.java
+++ b/wagtaillug-tool/src/test/java/org/wagtaillug/tool/ToolTest.java
@@ -108,6 +108,18 @@
         assertThat(second.posts).isEmpty();
     }
 
+    /**
+     * The log takes the change and is slow to say so; the node cannot tell yet. Its "unknown" is no refusal: the change
+     * wins a moment later, and the operator must hear of that and not send another.
+     */
+    @Test
+    void anUnknownOutcomeIsAskedForUntilItIsKnown() throws IOException {
+        first.fault = Fault.OUTCOME_UNKNOWN;
+        assertThat(tool("publish " + file(ENCODE)))
+                .isEqualTo(new ToolRun(0, "pool/encode: accepted as version 11\n", ""));
+        assertThat(second.posts).isEmpty();
+    }
+
     /**
      * The answer is lost and the node starts anew, so that it no longer knows the change id and calls the change crossed
      * by its own first sending. The tool may neither claim that it was accepted nor that it was not.
