Daemon: bad callers and bad upstreams under test

A slow or cut body, a twin request id, another request's answer, a cut stream, a lost answer of a booking, an allowance that ran out during a pause.

--- /dev/null
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/callers/CallersHandlerTest.java
@@ -0,0 +1,217 @@
+package org.wagtaillug.daemon.callers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtaillug.daemon.Json;
+import org.wagtaillug.daemon.control.MonotonicClock;
+import org.wagtaillug.id.AttemptId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.StageId;
+import org.wagtaillug.node.Event;
+import org.wagtaillug.result.Payload;
+import org.wagtaillug.result.Refusal;
+import org.wagtaillug.result.ResultCode;
+
+class CallersHandlerTest {
+    private static final String KEY = "0193f1b2-7c00-7abc-8def-0123456789ab";
+    private static final int LONGEST_BODY = 1000;
+
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final Exchanges exchanges = new Exchanges();
+    private final Server server = new Server();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private int port;
+
+    @BeforeEach
+    void listen() throws Exception {
+        ServerConnector connector = new ServerConnector(server);
+        connector.setHost("127.0.0.1");
+        server.addConnector(connector);
+        server.setHandler(new CallersHandler(
+                exchanges,
+                events::add,
+                new MonotonicClock(),
+                () -> true,
+                new CallersHandler.Limits(LONGEST_BODY, Duration.ofMillis(300))));
+        server.start();
+        port = connector.getLocalPort();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        server.stop();
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '`',
+            value = {
+                "{\"input\": 1|the body is not JSON",
+                "[1]|expected an object with \"input\"",
+                "{\"inptu\": 1}|the body has no \"input\"",
+                "{\"input\": 1, \"input\": 2}|Duplicate field 'input'",
+                "{\"input\": 1} {}|Trailing token",
+                "{\"input\": 1, \"max_tokens\": \"many\"}|max_tokens is \"many\"; expected a whole number from 1",
+                "{\"input\": 1, \"max_tokens\": 0}|max_tokens is 0",
+                "{\"input\": 1, \"stream\": 1}|stream is 1; expected true or false",
+                "{\"input\": 1, \"prefix\": 1}|prefix is 1; expected a text",
+            })
+    void aBodyOfTheWrongFormIsRefusedWithAMessageThatNamesThePlace(String body, String message) throws Exception {
+        JsonNode answer = send(request(body).header("Wagtaillug-Customer", "c")).body();
+        assertThat(answer.path("result_code").asInt()).isEqualTo(ResultCode.MALFORMED.number());
+        assertThat(answer.path("run").asText()).isEqualTo("not-run");
+        assertThat(answer.path("message").asText()).contains(message);
+        assertThat(exchanges.size()).isZero();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "Idempotency-Key, order-7, expected a UUID of version 7",
+        "Idempotency-Key, 123e4567-e89b-42d3-a456-426614174000, expected a UUID of version 7",
+        "Wagtaillug-Deadline-Millis, soon, expected milliseconds as a whole number",
+    })
+    void aHeaderOfTheWrongFormIsRefusedWithAMessageThatNamesIt(String name, String value, String message)
+            throws Exception {
+        JsonNode answer = send(request("{\"input\": 1}")
+                        .header("Wagtaillug-Customer", "c")
+                        .header(name, value))
+                .body();
+        assertThat(answer.path("result_code").asInt()).isEqualTo(ResultCode.MALFORMED.number());
+        assertThat(answer.path("message").asText()).contains(name, value, message);
+    }
+
+    @Test
+    void aBodyThatIsTooLongIsRefusedBeforeItIsRead() throws Exception {
+        String body = "{\"input\": \"" + "x".repeat(LONGEST_BODY) + "\"}";
+        Answer answer = send(request(body).header("Wagtaillug-Customer", "c"));
+        assertThat(answer.status()).isEqualTo(413);
+        assertThat(answer.body().path("message").asText()).contains("expected at most 1000 bytes");
+    }
+
+    @Test
+    void aSenderThatStopsInTheMiddleOfTheBodyIsToldSoAndNothingIsKept() throws Exception {
+        // A caller sends the head and half of the body, then nothing: its connection stays open for good. Without a
+        // limit
+        // each such caller would hold a place on the node for ever.
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            OutputStream out = socket.getOutputStream();
+            out.write(("POST /v1/templates/t/requests HTTP/1.1\r\nHost: x\r\nWagtaillug-Customer: c\r\n"
+                            + "Content-Length: 100\r\n\r\n{\"input\": ")
+                    .getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+            String head = new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
+            assertThat(head).isEqualTo("HTTP/1.1 408");
+        }
+        assertThat(exchanges.size()).isZero();
+        assertThat(events).isEmpty();
+    }
+
+    @Test
+    void twoRequestsOfOneIdInFlightAreNotMixedUp() throws Exception {
+        // A caller retries under the same request id while its first try still runs. Without a check the answer of one
+        // would go to the other's connection.
+        CompletableFuture<HttpResponse<String>> first = client.sendAsync(
+                request("{\"input\": 1}")
+                        .header("Wagtaillug-Customer", "c")
+                        .header("Wagtaillug-Request", "twin")
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        assertThat(events.poll(10, TimeUnit.SECONDS)).isInstanceOf(Event.RequestArrived.class);
+        Answer second = send(
+                request("{\"input\": 2}").header("Wagtaillug-Customer", "c").header("Wagtaillug-Request", "twin"));
+        assertThat(second.body().path("result_code").asInt()).isEqualTo(ResultCode.REQUEST_IN_FLIGHT.number());
+        exchanges.take(new RequestId("twin")).orElseThrow().served(3, Payload.of("\"one\""));
+        JsonNode answer = Json.read(first.get().body()).get();
+        assertThat(answer.path("output").asText()).isEqualTo("one");
+        assertThat(answer.path("template_version").asLong()).isEqualTo(3);
+    }
+
+    @Test
+    void theKeysOwnTimeSaysWhenItWasIssued() throws Exception {
+        client.sendAsync(
+                request("{\"input\": 1}")
+                        .header("Wagtaillug-Customer", "c")
+                        .header("Idempotency-Key", KEY)
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        Event.RequestArrived arrived = (Event.RequestArrived) events.poll(10, TimeUnit.SECONDS);
+        assertThat(arrived.request().key().orElseThrow().issuedAt().toEpochMilli())
+                .isEqualTo(0x0193f1b27c00L);
+    }
+
+    @Test
+    void aStreamEndsWithItsResultCodeAlsoWhenItIsRefusedInTheMiddle() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = client.sendAsync(
+                request("{\"input\": 1, \"stream\": true}")
+                        .header("Wagtaillug-Customer", "c")
+                        .header("Wagtaillug-Request", "s")
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        events.poll(10, TimeUnit.SECONDS);
+        CallerExchange exchange = exchanges.take(new RequestId("s")).orElseThrow();
+        AttemptId attempt = new AttemptId(new RequestId("s"), new StageId("generate"), 1);
+        assertThat(exchange.nextToken(new StageId("generate"))).isZero();
+        exchange.token(attempt, 0, "Five ");
+        exchange.token(attempt, 1, "lunches");
+        exchange.refused(
+                4, Refusal.unknown(ResultCode.DEADLINE_EXCEEDED, Duration.ofSeconds(1), "the deadline passed"));
+        String text = answer.get().body();
+        assertThat(text).contains("\"token_offset\":0,\"text\":\"Five \"", "\"token_offset\":1,\"text\":\"lunches\"");
+        assertThat(text).endsWith("\n\n").contains("event: end\ndata: {", "\"result_code\":302", "\"run\":\"unknown\"");
+    }
+
+    @Test
+    void aRefusalTellsWhenToComeBack() throws Exception {
+        CompletableFuture<HttpResponse<String>> answer = client.sendAsync(
+                request("{\"input\": 1}")
+                        .header("Wagtaillug-Customer", "c")
+                        .header("Wagtaillug-Request", "r")
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+        events.poll(10, TimeUnit.SECONDS);
+        exchanges
+                .take(new RequestId("r"))
+                .orElseThrow()
+                .refused(0, Refusal.notRun(ResultCode.OVERLOADED, Duration.ofMillis(1200), "full"));
+        assertThat(answer.get().statusCode()).isEqualTo(503);
+        assertThat(answer.get().headers().firstValue("Retry-After")).contains("2");
+        assertThat(Json.read(answer.get().body())
+                        .get()
+                        .path("retry_after_millis")
+                        .asInt())
+                .isEqualTo(1200);
+    }
+
+    private record Answer(int status, JsonNode body) {}
+
+    private HttpRequest.Builder request(String body) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/v1/templates/t/requests"))
+                .POST(HttpRequest.BodyPublishers.ofString(body));
+    }
+
+    private Answer send(HttpRequest.Builder request) throws Exception {
+        HttpResponse<String> response = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+        return new Answer(response.statusCode(), Json.read(response.body()).get());
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/upstream/AttemptSenderTest.java
@@ -0,0 +1,207 @@
+package org.wagtaillug.daemon.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.client.HttpClient;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wagtaillug.contract.Stage;
+import org.wagtaillug.contract.StageWork;
+import org.wagtaillug.daemon.callers.Exchanges;
+import org.wagtaillug.daemon.callers.OpenExchange;
+import org.wagtaillug.daemon.control.MonotonicClock;
+import org.wagtaillug.dispatch.Attempt;
+import org.wagtaillug.dispatch.AttemptEnd;
+import org.wagtaillug.id.AttemptId;
+import org.wagtaillug.id.CustomerId;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.IdempotencyKey;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RegionId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Vm;
+import org.wagtaillug.node.Event;
+import org.wagtaillug.result.Payload;
+
+class AttemptSenderTest {
+    private static final Stage ENCODE = Stage.builder("encode").build();
+    private static final Stage GENERATE =
+            Stage.builder("generate").work(StageWork.GENERATE).model("m").build();
+    private static final Stage BOOK =
+            Stage.builder("book").work(StageWork.CALL).pool("bookings").build();
+
+    private final MonotonicClock clock = new MonotonicClock();
+    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final Exchanges exchanges = new Exchanges();
+    private final HttpClient client = new HttpClient();
+    private final AtomicInteger calls = new AtomicInteger();
+    private HttpServer upstream;
+    private AttemptSender sender;
+    private String answer = "";
+    private int status = 200;
+
+    @BeforeEach
+    void start() throws Exception {
+        client.start();
+        upstream = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        upstream.createContext("/", this::answer);
+        upstream.start();
+        sender = new AttemptSender(client, client, exchanges, events::add, clock);
+        OpenExchange.add(exchanges, new RequestId("r"));
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        upstream.stop(0);
+        client.stop();
+    }
+
+    private void answer(HttpExchange exchange) throws IOException {
+        calls.incrementAndGet();
+        exchange.getRequestBody().readAllBytes();
+        byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
+        exchange.sendResponseHeaders(status, bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    @Test
+    void anAnswerWithTheAttemptsIdsCompletesIt() throws Exception {
+        answer = "{\"request\": \"r\", \"attempt\": \"r/encode/1\", \"output\": [1, 2]}";
+        assertThat(end(attempt(ENCODE, 1, 1000))).isEqualTo(new AttemptEnd.Completed(Payload.of("[1,2]")));
+    }
+
+    @Test
+    void theAnswerOfAnotherRequestIsNotTaken() throws Exception {
+        // An upstream mixes up two connections and answers with another guest's result. Without a look at the ids the
+        // caller would read someone else's answer.
+        answer = "{\"request\": \"other\", \"attempt\": \"other/encode/1\", \"output\": [1, 2]}";
+        assertThat(end(attempt(ENCODE, 1, 1000)))
+                .isEqualTo(new AttemptEnd.Failed(true, "the answer of attempt other/encode/1"));
+    }
+
+    @Test
+    void anAnswerThatIsCutIsNotTaken() throws Exception {
+        answer = "{\"request\": \"r\", \"attempt\": \"r/encode/1\", \"outp";
+        assertThat(end(attempt(ENCODE, 1, 1000))).isInstanceOf(AttemptEnd.Failed.class);
+    }
+
+    @Test
+    void aStreamThatEndsWithoutItsLastTokenIsNotWhole() throws Exception {
+        answer = event(0, "Five ", "null") + event(1, "lunches", "null") + "data: [DONE]\n\n";
+        assertThat(end(attempt(GENERATE, 1, 1000)))
+                .isEqualTo(new AttemptEnd.Failed(true, "the stream broke off at token 2"));
+        answer = event(1, "lunches", "null").replace("/1\"", "/2\"")
+                + event(2, ".", "\"stop\"").replace("/1\"", "/2\"");
+        assertThat(end(attempt(GENERATE, 2, 1000)))
+                .isEqualTo(new AttemptEnd.Completed(Payload.of("{\"text\":\"Five lunches.\",\"tokens\":3}")));
+    }
+
+    @Test
+    void aTokenOfAnotherAttemptEndsTheStream() throws Exception {
+        answer = event(0, "Five ", "null").replace("r/generate/1", "q/generate/1");
+        assertThat(end(attempt(GENERATE, 1, 1000))).isInstanceOf(AttemptEnd.Failed.class);
+    }
+
+    @Test
+    void anOverloadedUpstreamAndAWrongRequestAreToldApart() throws Exception {
+        status = 429;
+        assertThat(end(attempt(ENCODE, 1, 1000))).isEqualTo(new AttemptEnd.Overloaded());
+        status = 400;
+        assertThat(end(attempt(ENCODE, 2, 1000))).isInstanceOf(AttemptEnd.Rejected.class);
+        status = 503;
+        assertThat(end(attempt(ENCODE, 3, 1000))).isInstanceOf(AttemptEnd.Failed.class);
+    }
+
+    @Test
+    void aBookingThatCouldNotConnectIsKnownNotToHaveLeft() throws Exception {
+        int closed;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            closed = socket.getLocalPort();
+        }
+        AttemptEnd end = end(attempt(BOOK, 1, 1000, closed));
+        assertThat(end).isInstanceOf(AttemptEnd.Failed.class);
+        assertThat(((AttemptEnd.Failed) end).byteLeft()).isFalse();
+    }
+
+    @Test
+    void aBookingWhoseAnswerIsLostIsCalledOnceOnly() throws Exception {
+        // The ledger books and closes the connection without an answer. A client that repeats the call by itself, as
+        // many
+        // do on kept connections, would book twice.
+        upstream.removeContext("/");
+        upstream.createContext("/", exchange -> {
+            calls.incrementAndGet();
+            exchange.getRequestBody().readAllBytes();
+            exchange.close();
+        });
+        AttemptEnd end = end(attempt(BOOK, 1, 1000));
+        assertThat(((AttemptEnd.Failed) end).byteLeft()).isTrue();
+        assertThat(calls).hasValue(1);
+    }
+
+    @Test
+    void anAttemptWhoseAllowanceHasRunOutIsNotSent() throws Exception {
+        // The process is paused between the decision and the sending. On waking, its allowance may belong to another
+        // node;
+        // sending would put more on a cold server than it bears.
+        assertThat(end(attempt(ENCODE, 1, -1))).isEqualTo(new AttemptEnd.NotStarted());
+        assertThat(calls).hasValue(0);
+    }
+
+    private static String event(int offset, String text, String reason) {
+        return "data: {\"id\": \"r/generate/1\", \"request\": \"r\", \"token_offset\": " + offset
+                + ", \"choices\": [{\"text\": \"" + text + "\", \"finish_reason\": " + reason + "}]}\n\n";
+    }
+
+    private Attempt attempt(Stage stage, int number, long startWithinMillis) {
+        return attempt(stage, number, startWithinMillis, upstream.getAddress().getPort());
+    }
+
+    private Attempt attempt(Stage stage, int number, long startWithinMillis, int port) {
+        Vm vm = new Vm(
+                new VmId("u"),
+                Optional.of(new PoolId("p")),
+                new DomainId("d"),
+                new RegionId("g"),
+                "127.0.0.1",
+                port,
+                false);
+        Optional<IdempotencyKey> key = stage.work() == StageWork.CALL
+                ? Optional.of(new IdempotencyKey(new CustomerId("c"), "k", clock.now()))
+                : Optional.empty();
+        return new Attempt(
+                new AttemptId(new RequestId("r"), stage.id(), number),
+                stage,
+                vm,
+                Payload.of("1"),
+                clock.now().plusMillis(startWithinMillis),
+                clock.now().plusSeconds(5),
+                5,
+                key);
+    }
+
+    private AttemptEnd end(Attempt attempt) throws InterruptedException {
+        sender.start(attempt);
+        while (true) {
+            Event event = events.poll(10, TimeUnit.SECONDS);
+            assertThat(event).as("an end within 10 s").isNotNull();
+            if (event instanceof Event.AttemptEnded ended) {
+                return ended.end();
+            }
+        }
+    }
+}
