A booking that another node may be running is not said not to have run

Cause: at a request's deadline the dispatcher answered 'not run' for a request that still waited for the claim of its key, though another node might be running that key. A caller would take it as leave to book under a new key. Ruled out: the claims' own deadline, which answers unknown; the dispatcher's tick came first when both fell due. Now the claims alone end such a request, their verdicts are taken before the dispatcher looks at deadlines, and a caller who leaves is noted as unknown. Claims also learn which claimers are members.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -321,7 +321,7 @@
 
     /** Gives a request up: its caller is told at once what is known of it. */
     private void fail(RequestFlow flow, ResultCode code, String message, Instant now, Effects effects) {
-        boolean mayHaveRun = flow.sent() || !flow.live().isEmpty();
+        boolean mayHaveRun = flow.sent() || flow.awaitingClaim() || !flow.live().isEmpty();
         RunState run = mayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
         if (!flow.claimed()) {
             cancelLive(flow, effects);
@@ -501,7 +501,14 @@
         return demands;
     }
 
+    /**
+     * Gives up what is past its deadline. A request that waits for the claim of its key is left to the claims: only they
+     * know whether another node runs the key, and "not run" would then send the caller off to run it under a new key.
+     */
     private void checkDeadline(RequestFlow flow, Instant now, Effects effects) {
+        if (flow.awaitingClaim()) {
+            return;
+        }
         if (!flow.deadline().isAfter(now)) {
             fail(
                     flow,
--- a/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
@@ -70,7 +70,10 @@
         grantOwner = new GrantOwner(members, state);
         grantHolder = new GrantHolder(members, state, grantOwner);
         placement = new Placement(members, state);
-        claims = Claims.builder(setup.self()).retention(setup.retention()).build();
+        claims = Claims.builder(setup.self())
+                .retention(setup.retention())
+                .members(state::isMember)
+                .build();
         Upstreams upstreams = setup.naive()
                 ? new UngrantedUpstreams(directory)
                 : new GrantedUpstreams(directory, grantHolder, health);
@@ -109,6 +112,7 @@
         controlLog.onTick(now, effects);
         members.onTick(now, effects);
         claims.onTick(now, effects);
+        takeVerdicts(now);
         readVmList(now);
         grantOwner.onTick(now, effects);
         dispatcher.onTick(now, effects);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/dispatch/DispatcherTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/dispatch/DispatcherTest.java
@@ -11,6 +11,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.result.Payload;
 import org.wagtaillug.result.ResultCode;
@@ -76,6 +77,19 @@
         assertThat(session.lines).contains("  < abandon table");
     }
 
+    @Test
+    void aBookingThatAnotherNodeMayBeRunningIsNotSaidNotToHaveRun() {
+        // A guest's retry lands on a second node while the first still books. At the retry's deadline the second node
+        // knows
+        // nothing yet; "not run" would be taken as leave to book again under a new key.
+        Session session = new Session();
+        session.arrive("table", "booking").pass(10_001);
+        assertThat(session.refused()).isEmpty();
+        session.dispatcher.onCallerLeft(new RequestId("table"), session.now(), session.effects);
+        session.pass(1);
+        assertThat(session.refused().orElseThrow().refusal().run()).isEqualTo(RunState.UNKNOWN);
+    }
+
     @Test
     void aBookingThatAnswersAfterItsDeadlineIsRecordedForTheNextAsker() {
         // The ledger is slow: the guest was told "unknown" at the deadline, then the confirmation comes. A guest who
