Routing writes down only the alternatives that it logs; benchmarks

Cause: choosing among 740 upstreams formatted the expected time of each one for the log, though four are logged. Ruled out: the prefix hash, which is an integer mix per upstream. Change: a number is turned into text only while there is room for it, and without a format string.

--- /dev/null
+++ b/wagtaillug-benchmarks/src/main/java/org/wagtaillug/benchmarks/Fleet.java
@@ -0,0 +1,123 @@
+package org.wagtaillug.benchmarks;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.wagtaillug.grant.Finish;
+import org.wagtaillug.health.LoadReport;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RegionId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Vm;
+import org.wagtaillug.routing.Upstreams;
+
+/** A pool of so many upstreams with plausible figures, all of which may take work. */
+final class Fleet implements Upstreams {
+    private static final int DOMAINS = 5;
+    private final List<Vm> vms = new ArrayList<>();
+    private final LoadReport report = new LoadReport(Instant.EPOCH, Instant.EPOCH, 3, 0, 8, Optional.empty(), 0, 0);
+
+    Fleet(String pool, int size) {
+        for (int number = 0; number < size; number++) {
+            vms.add(vm(pool, number));
+        }
+    }
+
+    static Vm vm(String pool, int number) {
+        return new Vm(
+                new VmId(pool + "-" + number),
+                Optional.of(new PoolId(pool)),
+                new DomainId("domain-" + number % DOMAINS),
+                new RegionId("region"),
+                "127.0.0.1",
+                number,
+                false);
+    }
+
+    List<Vm> vms() {
+        return vms;
+    }
+
+    @Override
+    public List<Vm> inPool(PoolId pool) {
+        return vms;
+    }
+
+    @Override
+    public boolean inService(VmId upstream) {
+        return true;
+    }
+
+    @Override
+    public int available(VmId upstream, Instant now) {
+        return 1;
+    }
+
+    @Override
+    public boolean start(VmId upstream, Instant now) {
+        return true;
+    }
+
+    @Override
+    public Instant startBefore(VmId upstream, Instant now) {
+        return now.plusSeconds(2);
+    }
+
+    @Override
+    public void progressed(VmId upstream, Duration sinceStart, Instant now) {
+        // Not measured here.
+    }
+
+    @Override
+    public void finished(VmId upstream, Finish finish, Duration took, Instant now) {
+        // Not measured here.
+    }
+
+    @Override
+    public void want(PoolId pool, int attempts) {
+        // Not measured here.
+    }
+
+    @Override
+    public boolean usable(VmId upstream, Instant now) {
+        return true;
+    }
+
+    @Override
+    public boolean cold(VmId upstream) {
+        return false;
+    }
+
+    @Override
+    public int inFlight(VmId upstream) {
+        return 1;
+    }
+
+    @Override
+    public Optional<LoadReport> report(VmId upstream) {
+        return Optional.of(report);
+    }
+
+    @Override
+    public Optional<Duration> expected(VmId upstream) {
+        return Optional.of(Duration.ofMillis(40 + upstream.value().length()));
+    }
+
+    @Override
+    public Optional<Duration> quantile(PoolId pool, double share) {
+        return Optional.of(Duration.ofMillis(40));
+    }
+
+    @Override
+    public Optional<Duration> firstProgressQuantile(PoolId pool, double share) {
+        return Optional.of(Duration.ofMillis(20));
+    }
+
+    @Override
+    public boolean stalled(VmId upstream, Instant startedAt, Instant lastProgress, Instant now) {
+        return false;
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/LeastCompletionPolicy.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/LeastCompletionPolicy.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.wagtaillug.contract.Stage;
@@ -32,7 +31,7 @@
     static final double PREFIX_SAVING = 0.25;
 
     private static final int LOGGED_ALTERNATIVES = 4;
-    private static final double MILLION = 1e6;
+    private static final double TENTH_OF_MILLI = 1e5;
 
     private final Upstreams upstreams;
     private final DomainId domain;
@@ -64,11 +63,11 @@
             }
             double score = expectedNanos(vm, unseen, home);
             if (score >= bestScore) {
-                note(alternatives, vm, millis(score));
+                note(alternatives, vm, score);
                 continue;
             }
             if (best != null) {
-                note(alternatives, best, millis(bestScore));
+                note(alternatives, best, bestScore);
             }
             best = vm;
             bestScore = score;
@@ -147,6 +146,13 @@
         return mixed;
     }
 
+    /** Writes a number out only if it will be logged: among 740 upstreams that is all but four times not so. */
+    private static void note(List<String> alternatives, Vm vm, double score) {
+        if (alternatives.size() < LOGGED_ALTERNATIVES) {
+            alternatives.add(vm.id() + ": " + millis(score));
+        }
+    }
+
     private static void note(List<String> alternatives, Vm vm, String reason) {
         if (alternatives.size() < LOGGED_ALTERNATIVES) {
             alternatives.add(vm.id() + ": " + reason);
@@ -154,7 +160,7 @@
     }
 
     private static String millis(double nanos) {
-        return String.format(Locale.ROOT, "%.1f ms", nanos / MILLION);
+        return Math.round(nanos / TENTH_OF_MILLI) / 10.0 + " ms";
     }
 
     @Override
