--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
@@ -28,6 +28,7 @@
 import org.wagtaillug.dispatch.DispatchLimits;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.link.LinkCounters;
 import org.wagtaillug.link.LinkTls;
 import org.wagtaillug.link.PeerLink;
 import org.wagtaillug.log.LogRecord.NodeAddress;
@@ -155,7 +156,7 @@
                 runner::ready,
                 new CallersHandler.Limits(limits.bodyBytes(), limits.senderTimeout()));
         Handler administration = new AdministrationHandler(
-                control, pending, decisions, metrics, runner::ready, settings.administration());
+                control, pending, decisions, metrics, runner::ready, this::linkBytes, settings.administration());
         ServerConnector callersConnector = connector(settings.callers());
         ServerConnector administrationConnector =
                 connector(settings.administration().listener());
@@ -165,6 +166,11 @@
         server.start();
     }
 
+    private long linkBytes() {
+        LinkCounters counters = link.counters();
+        return counters.bytesIn() + counters.bytesOut();
+    }
+
     private ServerConnector connector(NodeSettings.Listener listener) throws Exception {
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.io.Content;
@@ -48,6 +49,7 @@
     private final DecisionLog decisions;
     private final NodeMetrics metrics;
     private final BooleanSupplier ready;
+    private final LongSupplier linkBytes;
     private final Access access;
 
     /** Serves operators. */
@@ -57,12 +59,14 @@
             DecisionLog decisions,
             NodeMetrics metrics,
             BooleanSupplier ready,
+            LongSupplier linkBytes,
             NodeSettings.Administration settings) {
         this.control = control;
         this.pending = pending;
         this.decisions = decisions;
         this.metrics = metrics;
         this.ready = ready;
+        this.linkBytes = linkBytes;
         this.access = new Access(settings.accesses());
     }
 
@@ -76,12 +80,19 @@
             case "/healthz" -> text(exchange, 200, "alive\n");
             case "/readyz" ->
                 text(exchange, ready.getAsBoolean() ? 200 : 503, ready.getAsBoolean() ? "ready\n" : "not ready\n");
-            case "/metrics" -> text(exchange, 200, metrics.text());
+            case "/metrics" -> metrics(exchange);
             default -> administer(path, exchange);
         }
         return true;
     }
 
+    private void metrics(Exchange exchange) {
+        control.query((node, now) -> node.state().through()).whenComplete((through, fault) -> {
+            metrics.control(through == null ? 0 : through, control.cpuNanos(), linkBytes.getAsLong());
+            text(exchange, 200, metrics.text());
+        });
+    }
+
     private void administer(String path, Exchange exchange) {
         Optional<NodeSettings.Access> holder =
                 access.holder(exchange.request().getHeaders().get(HttpHeader.AUTHORIZATION));
