--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/metrics/NodeMetrics.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/metrics/NodeMetrics.java
@@ -1,13 +1,17 @@
 package org.wagtaillug.daemon.metrics;
 
+import com.sun.management.OperatingSystemMXBean;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.wagtaillug.dispatch.Attempt;
@@ -55,6 +59,22 @@
     private final Gauge linkBytes =
             gauge("wagtaillug_link_bytes", "Bytes between this node and others since the start, both ways");
 
+    /** Creates the figures of a node. */
+    public NodeMetrics() {
+        OperatingSystemMXBean process = ManagementFactory.getPlatformMXBean(OperatingSystemMXBean.class);
+        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
+        GaugeWithCallback.builder()
+                .name("wagtaillug_process_cpu_seconds")
+                .help("Processor time of the whole process since the start")
+                .callback(figure -> figure.call(process.getProcessCpuTime() / NANOS_PER_SECOND))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("wagtaillug_heap_bytes")
+                .help("Bytes of the heap in use, garbage that is not yet collected included")
+                .callback(figure -> figure.call(memory.getHeapMemoryUsage().getUsed()))
+                .register(registry);
+    }
+
     private Gauge gauge(String name, String help) {
         return Gauge.builder().name(name).help(help).register(registry);
     }
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/Main.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/Main.java
@@ -14,6 +14,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import org.wagtaillug.standin.experiment.CompareCommand;
+import org.wagtaillug.standin.experiment.PlanCommand;
+import org.wagtaillug.standin.experiment.SummaryCommand;
 import org.wagtaillug.standin.http.Json;
 import org.wagtaillug.standin.load.LoadCommand;
 import org.wagtaillug.standin.options.CommonOptions;
@@ -40,6 +43,9 @@
     private static final String PROGRAM = "standin";
     private static final String ALL = "all";
     private static final String LOAD = "load";
+    private static final String PLAN = "plan";
+    private static final String SUMMARY = "summary";
+    private static final String COMPARE = "compare";
 
     private static final class GlobalOptions {
         @Parameter(names = "--help", help = true, description = "Shows this help")
@@ -60,6 +66,9 @@
     private final GlobalOptions global = new GlobalOptions();
     private final AllOptions all = new AllOptions();
     private final LoadCommand load = new LoadCommand();
+    private final PlanCommand plan = new PlanCommand();
+    private final SummaryCommand summary = new SummaryCommand();
+    private final CompareCommand compare = new CompareCommand();
     private final Map<StandInKind, CommonOptions> options = new EnumMap<>(StandInKind.class);
     private final JCommander commander;
 
@@ -77,6 +86,9 @@
         options.forEach((kind, object) -> commander.addCommand(kind.optionName(), object));
         commander.addCommand(ALL, all);
         commander.addCommand(LOAD, load);
+        commander.addCommand(PLAN, plan);
+        commander.addCommand(SUMMARY, summary);
+        commander.addCommand(COMPARE, compare);
     }
 
     /** Runs the program and ends the process with its exit code. */
@@ -105,6 +117,13 @@
         if (command.equals(LOAD)) {
             return runLoad();
         }
+        if (List.of(PLAN, SUMMARY, COMPARE).contains(command)) {
+            return runExperimentStep(command);
+        }
+        return runStandIn(command);
+    }
+
+    private int runStandIn(String command) {
         StandInKind kind = StandInKind.of(command);
         CommonOptions chosen = options.get(kind);
         if (chosen.help()) {
@@ -138,6 +157,30 @@
         };
     }
 
+    private int runExperimentStep(String command) {
+        boolean helps =
+                switch (command) {
+                    case PLAN -> plan.help();
+                    case SUMMARY -> summary.help();
+                    default -> compare.help();
+                };
+        if (helps) {
+            return help(commander.getCommands().get(command));
+        }
+        try {
+            Either<String, Void> done =
+                    switch (command) {
+                        case PLAN -> plan.run(out);
+                        case SUMMARY -> summary.run(out);
+                        default -> compare.run(out);
+                    };
+            return done.isRight() ? OK : usage(done.getLeft());
+        } catch (IOException failure) {
+            err.println(PROGRAM + ": " + failure.getMessage());
+            return SOFTWARE;
+        }
+    }
+
     private interface Start {
         StandInProcess start() throws IOException;
     }
--- /dev/null
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/RunFolder.java
@@ -0,0 +1,126 @@
+package org.wagtaillug.standin.experiment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.wagtaillug.standin.http.Json;
+import org.wagtaillug.standin.load.LoadReport;
+import org.wagtaillug.standin.upstream.Counters;
+
+/**
+ * What a run left in its folder.
+ *
+ * @param facts what was fixed before it began
+ * @param load what came of the requests
+ * @param startedAt when sending began, in Unix milliseconds
+ * @param first the nodes' figures at the end of the warm-up
+ * @param last the nodes' figures at the end
+ * @param counters what the upstreams had counted, by the name of the reading and the upstream
+ * @param actions what the script did
+ * @param digests the digests of the nodes' configuration at the end
+ */
+record RunFolder(
+        RunFacts facts,
+        LoadReport load,
+        long startedAt,
+        Reading first,
+        Reading last,
+        Map<String, Map<String, Counters>> counters,
+        List<Done> actions,
+        List<String> digests) {
+    private static final String COUNTERS = "counters-";
+
+    /**
+     * The figures of all nodes that answered.
+     *
+     * @param atMillis when, in Unix milliseconds
+     */
+    record Reading(long atMillis, Map<String, MetricsText> nodes) {}
+
+    /** An action that the script did, with its times in Unix milliseconds. */
+    record Done(long begunAt, long endedAt, int exitCode, String words) {}
+
+    /**
+     * Reads a run's folder.
+     *
+     * @return all of it, or which file is missing or wrong
+     */
+    static Either<String, RunFolder> read(Path folder) {
+        try {
+            Either<String, RunFacts> facts = json(folder.resolve(RunFacts.FILE), RunFacts.class);
+            Either<String, LoadReport> load = json(folder.resolve("load.json"), LoadReport.class);
+            if (facts.isLeft() || load.isLeft()) {
+                return Either.left(facts.isLeft() ? facts.getLeft() : load.getLeft());
+            }
+            Map<String, Map<String, Counters>> counters = new TreeMap<>();
+            try (var folders = Files.newDirectoryStream(folder, COUNTERS + "*")) {
+                for (Path one : folders) {
+                    counters.put(one.getFileName().toString().substring(COUNTERS.length()), counters(one));
+                }
+            }
+            return Either.right(new RunFolder(
+                    facts.get(),
+                    load.get(),
+                    Long.parseLong(Files.readString(folder.resolve("started")).strip()),
+                    reading(folder.resolve("metrics-start")),
+                    reading(folder.resolve("metrics-end")),
+                    counters,
+                    actions(folder.resolve("actions.log")),
+                    Files.readAllLines(folder.resolve("digests.txt"))));
+        } catch (IOException unreadable) {
+            return Either.left(folder + ": not a whole run, cannot read " + unreadable.getMessage());
+        } catch (NumberFormatException malformed) {
+            return Either.left(folder + ": expected a time in milliseconds: " + malformed.getMessage());
+        }
+    }
+
+    static <T> Either<String, T> json(Path file, Class<T> type) throws IOException {
+        return Json.read(Files.readAllBytes(file), type).mapLeft(problem -> file + ": " + problem);
+    }
+
+    private static Reading reading(Path folder) throws IOException {
+        Map<String, MetricsText> nodes = new TreeMap<>();
+        try (var files = Files.newDirectoryStream(folder, "*.txt")) {
+            for (Path file : files) {
+                String node = file.getFileName().toString().replace(".txt", "");
+                nodes.put(node, MetricsText.parse(Files.readString(file)));
+            }
+        }
+        long at = Long.parseLong(Files.readString(folder.resolve("time")).strip());
+        return new Reading(at, nodes);
+    }
+
+    /** An upstream that restarts answers with an error instead of its counters and is left out. */
+    private static Map<String, Counters> counters(Path folder) throws IOException {
+        Map<String, Counters> counters = new TreeMap<>();
+        try (var files = Files.newDirectoryStream(folder, "*.json")) {
+            for (Path file : files) {
+                Either<String, JsonNode> read = json(file, JsonNode.class);
+                if (read.isRight() && read.get().has("executed")) {
+                    String upstream = file.getFileName().toString().replace(".json", "");
+                    counters.put(upstream, Json.mapper().treeToValue(read.get(), Counters.class));
+                }
+            }
+        }
+        return counters;
+    }
+
+    private static List<Done> actions(Path file) throws IOException {
+        List<Done> actions = new ArrayList<>();
+        if (!Files.exists(file)) {
+            return actions;
+        }
+        for (String line : Files.readAllLines(file)) {
+            String[] parts = line.split(" ", 4);
+            actions.add(
+                    new Done(Long.parseLong(parts[0]), Long.parseLong(parts[1]), Integer.parseInt(parts[2]), parts[3]));
+        }
+        return actions;
+    }
+}
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/AnswerCheck.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/AnswerCheck.java
@@ -96,7 +96,8 @@
 
     private static Outcome refused(JsonNode node, String withoutCode) {
         String code = node.has("result_code") ? node.path("result_code").asText() : withoutCode;
-        return new Outcome.Refused(code, node.path("run").asText().equals("not-run"));
+        return new Outcome.Refused(
+                code, node.path("run").asText(), node.path("retry_after_millis").asLong());
     }
 
     private static Outcome lost(String reason) {
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Balancer.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Balancer.java
@@ -39,11 +39,17 @@
         }
     }
 
-    /** Returns the next ready node. */
-    Optional<URI> next() {
+    /** Returns the next ready node; {@code avoided} only if there is no other. */
+    Optional<URI> next(Optional<URI> avoided) {
+        Optional<URI> other = nextOf(avoided);
+        return other.isPresent() ? other : nextOf(Optional.empty());
+    }
+
+    private Optional<URI> nextOf(Optional<URI> avoided) {
         for (int tried = 0; tried < nodes.size(); tried++) {
             URI node = nodes.get(Math.floorMod(turn.getAndIncrement(), nodes.size()));
-            if (ready.contains(node)) {
+            boolean wanted = avoided.isEmpty() || !avoided.get().equals(node);
+            if (wanted && ready.contains(node)) {
                 return Optional.of(node);
             }
         }
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Call.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Call.java
@@ -4,8 +4,10 @@
 import java.net.ConnectException;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.UUID;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
@@ -29,8 +31,7 @@
     private static final long VARIANT = 0x8000_0000_0000_0000L;
     private static final long VARIANT_MASK = 0x3FFF_FFFF_FFFF_FFFFL;
 
-    private final HttpClient client;
-    private final Balancer balancer;
+    private final Surroundings surroundings;
     private final Recorder recorder;
     private final Consumer<Call> ended;
     private final Arrival arrival;
@@ -38,13 +39,21 @@
     private final String requestId;
     private final String key;
     private final String body;
-    private final AnswerCheck check;
-    private final EventStreamParser parser;
-    private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+    private AnswerCheck check;
+    private EventStreamParser parser;
+    private ByteArrayOutputStream content = new ByteArrayOutputStream();
     private URI node;
     private long sentNanos;
     private long lastTokenNanos;
     private boolean eventStream;
+    private boolean retried;
+
+    /**
+     * What all requests of a run are sent with.
+     *
+     * @param timer sends again what may be retried after some time
+     */
+    record Surroundings(HttpClient client, Balancer balancer, Recorder recorder, ScheduledExecutorService timer) {}
 
     /**
      * Prepares a request.
@@ -52,10 +61,9 @@
      * @param ended is told when all is over
      * @param due when it is due
      */
-    Call(HttpClient client, Balancer balancer, Recorder recorder, Arrival arrival, Consumer<Call> ended, Due due) {
-        this.client = client;
-        this.balancer = balancer;
-        this.recorder = recorder;
+    Call(Surroundings surroundings, Arrival arrival, Consumer<Call> ended, Due due) {
+        this.surroundings = surroundings;
+        this.recorder = surroundings.recorder();
         this.ended = ended;
         this.arrival = arrival;
         this.dueNanos = due.nanos();
@@ -75,12 +83,14 @@
      */
     record Due(long nanos, long unixMillis) {}
 
-    /** Sends it to the next ready node. */
+    /** Sends it for the first time. */
     void send(long nowNanos) {
-        if (node == null) {
-            sentNanos = nowNanos;
-        }
-        URI chosen = balancer.next().orElse(null);
+        sentNanos = nowNanos;
+        send(Optional.empty(), nowNanos);
+    }
+
+    private void send(Optional<URI> avoided, long nowNanos) {
+        URI chosen = surroundings.balancer().next(avoided).orElse(null);
         if (chosen == null) {
             end(new Outcome.Lost("no node ready"), nowNanos);
             return;
@@ -89,7 +99,9 @@
         recorder.given(chosen.toString());
         LoadFile.Kind kind = arrival.kind();
         long deadlineMillis = kind.deadline().toMillis();
-        Request request = client.newRequest(chosen.resolve("/v1/templates/" + kind.template() + "/requests"))
+        Request request = surroundings
+                .client()
+                .newRequest(chosen.resolve("/v1/templates/" + kind.template() + "/requests"))
                 .method(HttpMethod.POST)
                 .headers(headers -> {
                     headers.put("Wagtaillug-Customer", arrival.customer().name());
@@ -141,8 +153,8 @@
 
     private void failed(Throwable failure, long now) {
         if (failure instanceof ConnectException) {
-            balancer.unreachable(node);
-            send(now);
+            surroundings.balancer().unreachable(node);
+            send(Optional.empty(), now);
             return;
         }
         end(new Outcome.Lost(failure instanceof TimeoutException ? "no answer" : "connection broken"), now);
@@ -162,10 +174,38 @@
     }
 
     private void end(Outcome outcome, long now) {
-        recorder.end(arrival, key, outcome, check, now - dueNanos);
+        if (mayBeRetried(outcome)) {
+            retried = true;
+            recorder.retried();
+            long wait = outcome instanceof Outcome.Refused refusal ? refusal.retryAfterMillis() : 0;
+            surroundings.timer().schedule(this::sendAgain, wait, TimeUnit.MILLISECONDS);
+            return;
+        }
+        String sentTo = node == null ? "" : node.toString();
+        recorder.end(arrival, new Recorder.Ending(requestId, key, sentTo, retried, outcome, check, now - dueNanos));
         ended.accept(this);
     }
 
+    /** A caller with an idempotency key asks once more when it got no answer, or a refusal that names a time to wait. */
+    private boolean mayBeRetried(Outcome outcome) {
+        if (key.isEmpty() || retried) {
+            return false;
+        }
+        return switch (outcome) {
+            case Outcome.Served ignored -> false;
+            case Outcome.Refused refusal -> refusal.retryAfterMillis() > 0;
+            case Outcome.Lost ignored -> node != null;
+        };
+    }
+
+    private void sendAgain() {
+        check = new AnswerCheck(requestId);
+        parser = new EventStreamParser(this::event);
+        content = new ByteArrayOutputStream();
+        eventStream = false;
+        send(Optional.of(node), System.nanoTime());
+    }
+
     /** A UUID of version 7: the time in front, so that a node can tell how old an idempotency key is. */
     private static String timeOrderedUuid(long unixMillis, SplittableRandom random) {
         long front = unixMillis << TIME_SHIFT | VERSION_SEVEN | random.nextLong(1L << RANDOM_BITS_OF_VERSION);
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/DurationReader.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/DurationReader.java
@@ -9,10 +9,11 @@
 import java.util.regex.Pattern;
 
 /** Reads a duration as people write it: a whole number and one of {@code ms}, {@code s}, {@code m}, {@code h}. */
-final class DurationReader extends StdDeserializer<Duration> {
+public final class DurationReader extends StdDeserializer<Duration> {
     private static final Pattern FORM = Pattern.compile("([0-9]{1,9})(ms|s|m|h)");
 
-    DurationReader() {
+    /** Creates a reader. */
+    public DurationReader() {
         super(Duration.class);
     }
 
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/GroupReport.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/GroupReport.java
@@ -14,12 +14,13 @@
  * @param worthOffered what all would have been worth in time
  * @param worthServed what those served in time were worth
  * @param refusedByCode refused by result code
+ * @param refusedByRun refused by whether the refusal says that it has run: {@code run}, {@code not-run}, {@code unknown}
  * @param lostByReason lost by reason
  * @param wholeMillis from the time to send to the answer's end, of those served and late
  * @param firstTokenMillis from the time to send to the first token, of streamed answers
  * @param betweenTokensMillis between two tokens of a stream
  */
-record GroupReport(
+public record GroupReport(
         long offered,
         long served,
         long late,
@@ -29,6 +30,7 @@
         double worthOffered,
         double worthServed,
         Map<String, Long> refusedByCode,
+        Map<String, Long> refusedByRun,
         Map<String, Long> lostByReason,
         Percentiles wholeMillis,
         Percentiles firstTokenMillis,
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/GroupTally.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/GroupTally.java
@@ -7,6 +7,7 @@
 /** The counting behind one {@link GroupReport}. Not safe from several threads. */
 final class GroupTally {
     private static final int SIGNIFICANT_DIGITS = 3;
+    private static final String NOT_SAID = "not-said";
     private static final long NANOS_PER_MICRO = 1_000;
 
     private long offered;
@@ -17,6 +18,7 @@
     private double worthOffered;
     private double worthServed;
     private final Map<String, Long> refusedByCode = new TreeMap<>();
+    private final Map<String, Long> refusedByRun = new TreeMap<>();
     private final Map<String, Long> lostByReason = new TreeMap<>();
     private final Histogram whole = new Histogram(SIGNIFICANT_DIGITS);
     private final Histogram firstToken = new Histogram(SIGNIFICANT_DIGITS);
@@ -38,6 +40,7 @@
             case Outcome.Refused refusal -> {
                 refused++;
                 refusedByCode.merge(refusal.code(), 1L, Long::sum);
+                refusedByRun.merge(refusal.run().isEmpty() ? NOT_SAID : refusal.run(), 1L, Long::sum);
             }
             case Outcome.Lost loss -> {
                 lost++;
@@ -65,6 +68,7 @@
                 worthOffered,
                 worthServed,
                 refusedByCode,
+                refusedByRun,
                 lostByReason,
                 Percentiles.of(whole),
                 Percentiles.of(firstToken),
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadCommand.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadCommand.java
@@ -5,6 +5,7 @@
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import org.wagtaillug.standin.http.Json;
@@ -39,6 +40,11 @@
     @Parameter(names = "--plot", description = "File for a plot by second, PNG")
     private String plot;
 
+    @Parameter(
+            names = "--started",
+            description = "File that is written when sending begins, with that time in Unix milliseconds")
+    private String started;
+
     /** Tells whether only the help is wanted. */
     public boolean help() {
         return help;
@@ -51,7 +57,7 @@
             err.println(PROGRAM + read.getLeft());
             return End.WRONG_FILE;
         }
-        try (LoadRun run = new LoadRun(read.get(), seed)) {
+        try (LoadRun run = new LoadRun(read.get(), seed, this::noteStart)) {
             Either<String, LoadReport> result = run.run();
             if (result.isLeft()) {
                 err.println(PROGRAM + result.getLeft());
@@ -64,6 +70,17 @@
         }
     }
 
+    private void noteStart() {
+        if (started == null) {
+            return;
+        }
+        try {
+            Files.writeString(Path.of(started), System.currentTimeMillis() + System.lineSeparator());
+        } catch (IOException unwritable) {
+            throw new UncheckedIOException(unwritable);
+        }
+    }
+
     private End finish(LoadReport result, PrintStream out, PrintStream err) throws IOException {
         out.print(result.table());
         if (report != null) {
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
@@ -20,6 +20,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeSet;
 import org.wagtaillug.standin.options.Nearest;
 
@@ -29,12 +30,13 @@
  * <pre>
  * nodes: [http://127.0.0.1:8001, http://127.0.0.1:8002]
  * duration: 60s
+ * warm_up: 20s
  * rate: 40
  * burst: {at: 20s, for: 10s, factor: 3}
  * customers:
- *   - {name: office-nord, share: 4}
+ *   - {name: office-nord, share: 4, worths: {draft: 8}}
  * kinds:
- *   - {name: draft, template: menu-draft, share: 1, worth: 5, stream: true, deadline: 10s, max_tokens: 64, input_words: 40}
+ *   - {name: draft, template: menu-draft, share: 1, worth: 5, deadline: 10s, max_tokens: 64, prefix: brief, prefixes: 12}
  *   - {name: confirmation, template: kitchen-confirmation, share: 1, worth: 10, deadline: 5s, idempotency_key: true}
  * ledgers: [http://127.0.0.1:9121]
  * faults:
@@ -42,7 +44,8 @@
  * </pre>
  *
  * @param nodes the nodes' addresses for callers
- * @param duration for how long to send
+ * @param duration for how long to send, the warm-up included
+ * @param warmUp for how long from the start requests are sent but not counted; 0s by default
  * @param rate requests a second
  * @param burst a time of a higher rate; absent for none
  * @param customers who sends; a share is a weight
@@ -54,6 +57,7 @@
 public record LoadFile(
         List<URI> nodes,
         Duration duration,
+        Duration warmUp,
         double rate,
         Burst burst,
         List<Customer> customers,
@@ -63,6 +67,7 @@
 
     /** Replaces absent lists by empty ones. */
     public LoadFile {
+        warmUp = warmUp == null ? Duration.ZERO : warmUp;
         nodes = nodes == null ? List.of() : List.copyOf(nodes);
         customers = customers == null ? List.of() : List.copyOf(customers);
         kinds = kinds == null ? List.of() : List.copyOf(kinds);
@@ -79,8 +84,23 @@
      */
     public record Burst(Duration at, @JsonProperty("for") Duration length, double factor) {}
 
-    /** A customer and its weight. */
-    public record Customer(String name, double share) {}
+    /**
+     * A customer and its weight.
+     *
+     * @param worths what a request is worth by the name of its kind, where the customer's differs from the kind's; empty
+     *     by default
+     */
+    public record Customer(String name, double share, Map<String, Double> worths) {
+        /** Replaces absent worths by none. */
+        public Customer {
+            worths = worths == null ? Map.of() : Map.copyOf(worths);
+        }
+
+        /** Returns what a request of a kind is worth to this customer when it is served in time. */
+        double worth(Kind kind) {
+            return worths.getOrDefault(kind.name(), kind.worth());
+        }
+    }
 
     /**
      * A kind of request.
@@ -95,7 +115,9 @@
      * @param idempotencyKey whether each request carries a key of its own
      * @param input the input to send; absent for {@code inputWords} random words
      * @param inputWords how many random words the input has; 20 by default
-     * @param prefix what many requests begin with, sent as {@code prefix}; absent for none
+     * @param prefix names what many requests begin with: random words of which the input begins, the same for the same
+     *     name; sent as {@code prefix}; absent for none
+     * @param prefixes how many such beginnings each customer has, numbered from 0; 1 by default, without a number
      */
     public record Kind(
             String name,
@@ -108,12 +130,14 @@
             boolean idempotencyKey,
             JsonNode input,
             Integer inputWords,
-            String prefix) {
+            String prefix,
+            Integer prefixes) {
         private static final int DEFAULT_INPUT_WORDS = 20;
 
-        /** Takes the default number of words if none is given. */
+        /** Takes the defaults of what is not given. */
         public Kind {
             inputWords = inputWords == null ? DEFAULT_INPUT_WORDS : inputWords;
+            prefixes = prefixes == null ? 1 : prefixes;
         }
     }
 
@@ -215,6 +239,8 @@
         List<String> problems = new ArrayList<>();
         require(problems, !nodes.isEmpty(), "nodes: empty, expected at least one address");
         require(problems, duration != null && !duration.isZero(), "duration: expected a time above 0s");
+        boolean counts = duration == null || warmUp.compareTo(duration) < 0;
+        require(problems, counts, "warm_up: expected a time below the duration");
         require(problems, rate > 0, "rate: found " + rate + ", expected requests a second, above 0");
         require(problems, !customers.isEmpty(), "customers: empty, expected at least one");
         require(problems, !kinds.isEmpty(), "kinds: empty, expected at least one");
@@ -247,6 +273,7 @@
         require(problems, kind.share() > 0, path + "share: found " + kind.share() + ", expected above 0");
         boolean hasDeadline = kind.deadline() != null && !kind.deadline().isZero();
         require(problems, hasDeadline, path + "deadline: expected a time above 0s");
+        require(problems, kind.prefixes() > 0, path + "prefixes: found " + kind.prefixes() + ", expected above 0");
     }
 
     private static void require(List<String> problems, boolean holds, String problem) {
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadReport.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadReport.java
@@ -8,43 +8,72 @@
  *
  * @param seed the seed of the arrivals
  * @param durationMillis for how long it sent
+ * @param warmUpMillis for how long from the start requests were not counted; they show in truth, seconds and misses only
  * @param offeredPerSecond the mean rate
  * @param total all requests
  * @param customers by customer
  * @param kinds by kind
+ * @param customerKinds by customer and kind, as {@code customer/kind}
  * @param truth answers that were not true
+ * @param retried how many were sent a second time under their idempotency key
  * @param nodes how many requests each node was sent
  * @param sendLagMillis how late requests were sent; a high value means that this machine did not keep up
  * @param faults the timed calls and what came of them
  * @param seconds what came of the requests that were due in each second
+ * @param misses the first requests that were not served in time, and those whose answer was not true
+ * @param notRun the ids of all requests that were refused as not run
  */
-record LoadReport(
+public record LoadReport(
         long seed,
         long durationMillis,
+        long warmUpMillis,
         double offeredPerSecond,
         GroupReport total,
         Map<String, GroupReport> customers,
         Map<String, GroupReport> kinds,
+        Map<String, GroupReport> customerKinds,
         TruthErrors truth,
+        long retried,
         Map<String, Long> nodes,
         Percentiles sendLagMillis,
         List<FaultReport> faults,
-        List<SecondReport> seconds) {
+        List<SecondReport> seconds,
+        List<Miss> misses,
+        List<String> notRun) {
     /**
      * A timed call and what came of it.
      *
      * @param atMillis when, from the start
      * @param result the HTTP status, or the failure
      */
-    record FaultReport(long atMillis, String url, String body, String result) {}
+    public record FaultReport(long atMillis, String url, String body, String result) {}
+
+    /**
+     * One request that was not served in time, or whose answer was not true.
+     *
+     * @param atMillis when it was due, from the start
+     * @param wholeMillis how long it took to its end
+     * @param retried whether it was sent a second time
+     * @param what what came of it
+     */
+    public record Miss(
+            long atMillis,
+            long wholeMillis,
+            String request,
+            String key,
+            String customer,
+            String kind,
+            String node,
+            boolean retried,
+            String what) {}
 
     /** One second of the run. */
-    record SecondReport(int second, long served, long late, long lost, long refused) {}
+    public record SecondReport(int second, long served, long late, long lost, long refused) {}
 
     /** Returns the report as a table for people. */
-    String table() {
+    public String table() {
         StringBuilder table = new StringBuilder();
-        String head = "%-24s %8s %8s %6s %6s %8s %7s %10s %10s %9s %9s %9s %9s%n";
+        String head = "%-34s %8s %8s %6s %6s %8s %7s %10s %10s %9s %9s %9s %9s%n";
         table.append(head.formatted(
                 "",
                 "offered",
@@ -62,14 +91,17 @@
         row(table, "all", total);
         customers.forEach((name, group) -> row(table, name, group));
         kinds.forEach((name, group) -> row(table, name, group));
+        customerKinds.forEach((name, group) -> row(table, name, group));
+        table.append("refused by run: ").append(total.refusedByRun()).append(System.lineSeparator());
         table.append("refused by code: ").append(total.refusedByCode()).append(System.lineSeparator());
         table.append("lost by reason: ").append(total.lostByReason()).append(System.lineSeparator());
+        table.append("sent again under their key: ").append(retried).append(System.lineSeparator());
         table.append("errors of truth: ").append(truth).append(System.lineSeparator());
         return table.toString();
     }
 
     private static void row(StringBuilder table, String name, GroupReport group) {
-        table.append("%-24s %8d %8d %6d %6d %8d %6.2f%% %10.0f %10.0f %9.1f %9.1f %9.1f %9.1f%n"
+        table.append("%-34s %8d %8d %6d %6d %8d %6.2f%% %10.0f %10.0f %9.1f %9.1f %9.1f %9.1f%n"
                 .formatted(
                         name,
                         group.offered(),
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
@@ -43,8 +43,16 @@
         return thread;
     });
 
-    LoadRun(LoadFile file, long seed) {
+    private final Runnable started;
+
+    /**
+     * Prepares a run.
+     *
+     * @param started is told when sending begins
+     */
+    LoadRun(LoadFile file, long seed, Runnable started) {
         this.file = file;
+        this.started = started;
         this.arrivals = Schedule.arrivals(file, seed);
         this.recorder = new Recorder(file, seed);
         this.left = new CountDownLatch(arrivals.size());
@@ -64,14 +72,16 @@
                     "no node is ready: " + file.nodes() + ", expected one within " + READY_WITHIN_MILLIS + " ms");
         }
         long start = System.nanoTime();
+        started.run();
         scheduleFaults();
+        Call.Surroundings surroundings = new Call.Surroundings(client, balancer, recorder, timer);
         for (Arrival arrival : arrivals) {
             long due = start + arrival.atNanos();
             parkUntil(due);
             long now = System.nanoTime();
             recorder.sent(now - due);
             Call.Due dueAt = new Call.Due(due, System.currentTimeMillis());
-            new Call(client, balancer, recorder, arrival, call -> left.countDown(), dueAt).send(now);
+            new Call(surroundings, arrival, call -> left.countDown(), dueAt).send(now);
         }
         if (!left.await(longestAnswerMillis(), TimeUnit.MILLISECONDS)) {
             return Either.left(left.getCount() + " requests never came to an end");
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Percentiles.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Percentiles.java
@@ -7,7 +7,7 @@
  *
  * @param count how many were measured
  */
-record Percentiles(long count, double p50, double p90, double p95, double p99, double max) {
+public record Percentiles(long count, double p50, double p90, double p95, double p99, double max) {
     private static final double MICROS_PER_MILLI = 1_000;
 
     /** Reads a histogram of microseconds. */
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Recorder.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Recorder.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
@@ -11,6 +12,8 @@
 final class Recorder {
     private static final int SIGNIFICANT_DIGITS = 3;
     private static final long NANOS_PER_MICRO = 1_000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final int MISSES_KEPT = 500;
     private static final long NANOS_PER_SECOND = 1_000_000_000;
 
     private final LoadFile file;
@@ -18,14 +21,37 @@
     private final GroupTally total = new GroupTally();
     private final Map<String, GroupTally> customers = new TreeMap<>();
     private final Map<String, GroupTally> kinds = new TreeMap<>();
+    private final Map<String, GroupTally> customerKinds = new TreeMap<>();
     private final TreeMap<Integer, GroupTally> seconds = new TreeMap<>();
     private final Map<String, Long> nodes = new TreeMap<>();
-    private final Map<String, Outcome> keys = new HashMap<>();
+    private final Map<String, Keyed> keys = new HashMap<>();
+    private final List<LoadReport.Miss> misses = new ArrayList<>();
+    private final List<String> notRun = new ArrayList<>();
     private final List<LoadReport.FaultReport> faults = new ArrayList<>();
     private final Histogram sendLag = new Histogram(SIGNIFICANT_DIGITS);
     private long wrongRequest;
     private long tooShort;
     private long doubled;
+    private long retried;
+
+    /**
+     * How a request ended.
+     *
+     * @param key its idempotency key; empty when it had none
+     * @param node which it was sent to last; empty when none was ready
+     * @param retried whether it was sent a second time
+     * @param wholeNanos from the time to send to the end
+     */
+    record Ending(
+            String request,
+            String key,
+            String node,
+            boolean retried,
+            Outcome outcome,
+            AnswerCheck check,
+            long wholeNanos) {}
+
+    private record Keyed(Arrival arrival, Ending ending) {}
 
     Recorder(LoadFile file, long seed) {
         this.file = file;
@@ -52,20 +78,53 @@
         }
     }
 
-    /** Counts a request's end; {@code key} is empty when it had no idempotency key. */
-    synchronized void end(Arrival arrival, String key, Outcome outcome, AnswerCheck check, long wholeNanos) {
+    synchronized void retried() {
+        retried++;
+    }
+
+    /** Counts a request's end. */
+    synchronized void end(Arrival arrival, Ending ending) {
+        Outcome outcome = ending.outcome();
+        double worth = arrival.customer().worth(arrival.kind());
         for (GroupTally group : groups(arrival)) {
-            group.end(outcome, arrival.kind().worth(), wholeNanos);
+            group.end(outcome, worth, ending.wholeNanos());
         }
         int second = (int) (arrival.atNanos() / NANOS_PER_SECOND);
-        seconds.computeIfAbsent(second, unused -> new GroupTally())
-                .end(outcome, arrival.kind().worth(), wholeNanos);
+        seconds.computeIfAbsent(second, unused -> new GroupTally()).end(outcome, worth, ending.wholeNanos());
+        AnswerCheck check = ending.check();
         wrongRequest += check.wrongRequest() ? 1 : 0;
         tooShort += check.tooShort() ? 1 : 0;
         doubled += check.doubled() ? 1 : 0;
-        if (!key.isEmpty()) {
-            keys.put(key, outcome);
+        if (!ending.key().isEmpty()) {
+            keys.put(ending.key(), new Keyed(arrival, ending));
         }
+        if (outcome instanceof Outcome.Refused refusal && refusal.notRun()) {
+            notRun.add(ending.request());
+        }
+        if (misses.size() < MISSES_KEPT) {
+            describe(ending).ifPresent(text -> misses.add(miss(arrival, ending, text)));
+        }
+    }
+
+    private static Optional<String> describe(Ending ending) {
+        return switch (ending.outcome()) {
+            case Outcome.Served served -> served.inTime() ? Optional.empty() : Optional.of("late");
+            case Outcome.Refused refusal -> Optional.of("refused " + refusal.code() + " " + refusal.run());
+            case Outcome.Lost loss -> Optional.of("lost: " + loss.reason());
+        };
+    }
+
+    private static LoadReport.Miss miss(Arrival arrival, Ending ending, String text) {
+        return new LoadReport.Miss(
+                arrival.atNanos() / NANOS_PER_MILLI,
+                ending.wholeNanos() / NANOS_PER_MILLI,
+                ending.request(),
+                ending.key(),
+                arrival.customer().name(),
+                arrival.kind().name(),
+                ending.node(),
+                ending.retried(),
+                text);
     }
 
     synchronized void fault(LoadReport.FaultReport fault) {
@@ -78,20 +137,26 @@
      * @param executions how often the ledgers show each key as executed; empty when none was asked
      */
     synchronized LoadReport report(Map<String, Integer> executions) {
-        double duration = file.duration().toNanos() / (double) NANOS_PER_SECOND;
+        double duration = file.duration().minus(file.warmUp()).toNanos() / (double) NANOS_PER_SECOND;
         GroupReport all = total.report();
+        TruthErrors truth = truth(executions);
         return new LoadReport(
                 seed,
                 file.duration().toMillis(),
+                file.warmUp().toMillis(),
                 all.offered() / duration,
                 all,
                 reports(customers),
                 reports(kinds),
-                truth(executions),
+                reports(customerKinds),
+                truth,
+                retried,
                 nodes,
                 Percentiles.of(sendLag),
                 List.copyOf(faults),
-                seconds());
+                seconds(),
+                misses,
+                notRun);
     }
 
     private TruthErrors truth(Map<String, Integer> executions) {
@@ -101,12 +166,20 @@
         if (file.ledgers().isEmpty()) {
             return new TruthErrors(wrongRequest, tooShort, doubled, 0, 0, 0);
         }
-        for (Map.Entry<String, Outcome> entry : keys.entrySet()) {
+        for (Map.Entry<String, Keyed> entry : keys.entrySet()) {
             int times = executions.getOrDefault(entry.getKey(), 0);
-            Outcome outcome = entry.getValue();
-            doubleRuns += times > 1 ? 1 : 0;
-            falseNotRun += times > 0 && outcome instanceof Outcome.Refused refusal && refusal.notRun() ? 1 : 0;
-            servedNotRun += times == 0 && outcome instanceof Outcome.Served ? 1 : 0;
+            Outcome outcome = entry.getValue().ending().outcome();
+            boolean ranTwice = times > 1;
+            boolean ranThoughNot = times > 0 && outcome instanceof Outcome.Refused refusal && refusal.notRun();
+            boolean neverRan = times == 0 && outcome instanceof Outcome.Served;
+            doubleRuns += ranTwice ? 1 : 0;
+            falseNotRun += ranThoughNot ? 1 : 0;
+            servedNotRun += neverRan ? 1 : 0;
+            if (ranTwice || ranThoughNot || neverRan) {
+                Ending ending = entry.getValue().ending();
+                misses.add(
+                        miss(entry.getValue().arrival(), ending, "untrue: executed " + times + " times, " + outcome));
+            }
         }
         return new TruthErrors(wrongRequest, tooShort, doubled, doubleRuns, falseNotRun, servedNotRun);
     }
@@ -122,10 +195,16 @@
         return reports;
     }
 
+    /** The groups that a request counts in: none while the load warms up. */
     private List<GroupTally> groups(Arrival arrival) {
+        if (arrival.atNanos() < file.warmUp().toNanos()) {
+            return List.of();
+        }
         GroupTally customer = customers.computeIfAbsent(arrival.customer().name(), unused -> new GroupTally());
         GroupTally kind = kinds.computeIfAbsent(arrival.kind().name(), unused -> new GroupTally());
-        return List.of(total, customer, kind);
+        String both = arrival.customer().name() + "/" + arrival.kind().name();
+        GroupTally customerKind = customerKinds.computeIfAbsent(both, unused -> new GroupTally());
+        return List.of(total, customer, kind, customerKind);
     }
 
     private static Map<String, GroupReport> reports(Map<String, GroupTally> groups) {
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/RequestBody.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/RequestBody.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.wagtaillug.standin.http.Hashing;
 import org.wagtaillug.standin.http.Json;
 
 /** Writes the body of a request: the kind's input, or random words. */
@@ -35,26 +36,48 @@
             "gluten",
             "free");
 
+    private static final int WORDS_OF_PREFIX = 64;
+
     private RequestBody() {}
 
     static String write(Arrival arrival, SplittableRandom random) {
         LoadFile.Kind kind = arrival.kind();
         ObjectNode body = Json.mapper().createObjectNode();
+        String prefix = prefix(arrival, random);
         if (kind.input() == null) {
-            body.put("input", words(kind.inputWords(), random));
+            body.put("input", beginning(prefix) + words(kind.inputWords(), random));
         } else {
             body.set("input", kind.input());
         }
         if (kind.maxTokens() != null) {
             body.put("max_tokens", kind.maxTokens());
         }
-        if (kind.prefix() != null) {
-            body.put("prefix", kind.prefix());
+        if (!prefix.isEmpty()) {
+            body.put("prefix", prefix);
         }
         body.put("stream", kind.stream());
         return Json.text(body);
     }
 
+    private static String prefix(Arrival arrival, SplittableRandom random) {
+        LoadFile.Kind kind = arrival.kind();
+        if (kind.prefix() == null) {
+            return "";
+        }
+        if (kind.prefixes() == 1) {
+            return kind.prefix();
+        }
+        return kind.prefix() + "-" + arrival.customer().name() + "-" + random.nextInt(kind.prefixes());
+    }
+
+    /** The words that all inputs with this prefix begin with: long enough to fill an engine's cached prefix. */
+    private static String beginning(String prefix) {
+        if (prefix.isEmpty()) {
+            return "";
+        }
+        return prefix + " " + words(WORDS_OF_PREFIX, new SplittableRandom(Hashing.number(prefix))) + " ";
+    }
+
     private static String words(int count, SplittableRandom random) {
         StringBuilder text = new StringBuilder();
         for (int index = 0; index < count; index++) {
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/TruthErrors.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/TruthErrors.java
@@ -10,9 +10,10 @@
  * @param falseNotRun idempotency keys that were executed though the refusal said not run
  * @param servedNotRun idempotency keys that were answered as served but never executed
  */
-record TruthErrors(
+public record TruthErrors(
         long wrongRequest, long tooShort, long doubled, long doubleRuns, long falseNotRun, long servedNotRun) {
-    long sum() {
+    /** Returns how many there were of all kinds together. */
+    public long sum() {
         return wrongRequest + tooShort + doubled + doubleRuns + falseNotRun + servedNotRun;
     }
 }
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/upstream/Counters.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/upstream/Counters.java
@@ -11,6 +11,9 @@
  * @param refused how many were answered 429
  * @param fellOver how often it fell over while cold
  * @param peakRunningWhileCold the most requests that it was given at once while cold, one too many included
+ * @param lastTakenAt when it was last given a request that it took; 0 if never
+ * @param prefixHits how many completions found their prompt's prefix cached; engines only
+ * @param prefixMisses how many did not; engines only
  * @param byRequest how often each of the last requests was executed, by request id
  */
 public record Counters(
@@ -19,6 +22,9 @@
         long refused,
         long fellOver,
         long peakRunningWhileCold,
+        long lastTakenAt,
+        long prefixHits,
+        long prefixMisses,
         Map<String, Integer> byRequest) {
 
     /** The counting behind {@link Counters}. Not safe from several threads. */
@@ -29,6 +35,9 @@
         private long cancelled;
         private long refused;
         private long fellOver;
+        private long lastTakenAt;
+        private long prefixHits;
+        private long prefixMisses;
         private final Map<String, Integer> byRequest = new LinkedHashMap<>() {
             @Override
             protected boolean removeEldestEntry(Map.Entry<String, Integer> eldest) {
@@ -53,9 +62,26 @@
             fellOver++;
         }
 
+        void taken(long now) {
+            lastTakenAt = now;
+        }
+
+        void prefix(boolean cached) {
+            prefixHits += cached ? 1 : 0;
+            prefixMisses += cached ? 0 : 1;
+        }
+
         Counters snapshot(int peakRunningWhileCold) {
             return new Counters(
-                    executed, cancelled, refused, fellOver, peakRunningWhileCold, new LinkedHashMap<>(byRequest));
+                    executed,
+                    cancelled,
+                    refused,
+                    fellOver,
+                    peakRunningWhileCold,
+                    lastTakenAt,
+                    prefixHits,
+                    prefixMisses,
+                    new LinkedHashMap<>(byRequest));
         }
     }
 }
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/upstream/Engine.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/upstream/Engine.java
@@ -65,7 +65,9 @@
         long now = timers().now();
         String prefix = prefix(job.call().prompt());
         long firstToken = options.firstTokenMillis();
-        if (cache.get(prefix).isPresent()) {
+        boolean cached = cache.get(prefix).isPresent();
+        notePrefix(cached);
+        if (cached) {
             firstToken = firstToken / CACHED_SPEEDUP;
         } else {
             cache.put(prefix, ("cache of " + prefix).getBytes(StandardCharsets.UTF_8), now);
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/upstream/Upstream.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/upstream/Upstream.java
@@ -123,6 +123,7 @@
             }
             default -> throw new IllegalStateException("unknown outcome");
         }
+        tally.taken(timers.now());
         return true;
     }
 
@@ -141,6 +142,11 @@
         slots.remove(job).ifPresent(this::start);
     }
 
+    /** Notes whether a job's prefix was cached. */
+    final void notePrefix(boolean cached) {
+        tally.prefix(cached);
+    }
+
     final boolean isRunning(J job) {
         return slots.holds(job);
     }
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
@@ -35,7 +35,7 @@
     }
 
     private static LoadReport run(LoadFile file) throws Exception {
-        try (LoadRun run = new LoadRun(file, 1)) {
+        try (LoadRun run = new LoadRun(file, 1, () -> {})) {
             return run.run().getOrElseThrow(problem -> new AssertionError(problem));
         }
     }
