--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/EffectRunner.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/EffectRunner.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
@@ -18,6 +19,7 @@
 import org.wagtaillug.dispatch.Attempt;
 import org.wagtaillug.id.AttemptId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.link.LinkCounters;
 import org.wagtaillug.link.PeerLink;
 import org.wagtaillug.membership.Vm;
 import org.wagtaillug.node.Effect;
@@ -74,7 +76,10 @@
             case Effect.PeersChanged changed -> parts.link().peers(changed.peers());
             case Effect.ReadLog read -> parts.platform().readLog(read);
             case Effect.AppendToLog append -> parts.platform().append(append);
-            case Effect.ReadVmList ignored -> parts.platform().readVmList();
+            case Effect.ReadVmList ignored -> {
+                parts.platform().readVmList();
+                measureControl();
+            }
             case Effect.AskLoad ask -> upstream(ask.upstream(), parts.platform()::askLoad);
             case Effect.SendOrder order ->
                 upstream(order.upstream(), vm -> parts.platform().order(vm, order));
@@ -86,6 +91,13 @@
         }
     }
 
+    /** Notes what control has cost; comes with the regular reading of the VM list, and so on the control thread. */
+    private void measureControl() {
+        LinkCounters link = parts.link().counters();
+        long cpuNanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+        parts.metrics().control(node.state().through(), cpuNanos, link.bytesIn() + link.bytesOut());
+    }
+
     private void start(Attempt attempt) {
         attempts.put(attempt.id(), new Started(attempt, parts.clock().now()));
         parts.sender().start(attempt);
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadFile.java
@@ -45,7 +45,8 @@
  *
  * @param nodes the nodes' addresses for callers
  * @param duration for how long to send, the warm-up included
- * @param warmUp for how long from the start requests are sent but not counted; 0s by default
+ * @param warmUp for how long from the start requests are sent but not counted, at a rate that rises evenly from nothing;
+ *     0s by default; a burst comes after it
  * @param rate requests a second
  * @param burst a time of a higher rate; absent for none
  * @param customers who sends; a share is a weight
@@ -246,6 +247,8 @@
         require(problems, !kinds.isEmpty(), "kinds: empty, expected at least one");
         if (burst != null) {
             require(problems, burst.at() != null && burst.length() != null, "burst: expected at, for and factor");
+            boolean afterWarmUp = burst.at() == null || burst.at().compareTo(warmUp) >= 0;
+            require(problems, afterWarmUp, "burst.at: expected a time after the warm-up");
             require(problems, burst.factor() > 0, "burst.factor: found " + burst.factor() + ", expected above 0");
         }
         for (int index = 0; index < customers.size(); index++) {
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadReport.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadReport.java
@@ -8,7 +8,7 @@
  *
  * @param seed the seed of the arrivals
  * @param durationMillis for how long it sent
- * @param warmUpMillis for how long from the start requests were not counted; they show in truth, seconds and misses only
+ * @param warmUpMillis for how long from the start requests were not counted; they show in truth and seconds only
  * @param offeredPerSecond the mean rate
  * @param total all requests
  * @param customers by customer
@@ -20,7 +20,8 @@
  * @param sendLagMillis how late requests were sent; a high value means that this machine did not keep up
  * @param faults the timed calls and what came of them
  * @param seconds what came of the requests that were due in each second
- * @param misses the first requests that were not served in time, and those whose answer was not true
+ * @param misses the first requests after the warm-up that were not served in time, and all whose key's executions do not
+ *     fit their answer
  * @param notRun the ids of all requests that were refused as not run
  */
 public record LoadReport(
