--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/MetricsText.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/MetricsText.java
@@ -13,6 +13,7 @@
  * @param samples all samples in their order; lines that are none are left out
  */
 record MetricsText(List<Sample> samples) {
+    private static final String COUNTER = "_total";
     private static final Pattern LINE = Pattern.compile("([A-Za-z_:][A-Za-z0-9_:]*)(?:\\{(.*)})? (\\S+)(?: \\d+)?");
     private static final Pattern LABEL = Pattern.compile("([A-Za-z_][A-Za-z0-9_]*)=\"((?:[^\"\\\\]|\\\\.)*)\"");
 
@@ -58,20 +59,32 @@
     }
 
     /**
-     * Returns what was added since an earlier reading. A value below the earlier one is that of a process that has started
-     * anew in between, and counts whole.
+     * Returns what was added since an earlier reading. A counter below its earlier value is that of a process that has
+     * started anew in between; then all its figures count whole.
      */
     MetricsText since(MetricsText earlier) {
         Map<String, Double> before = new LinkedHashMap<>();
         for (Sample sample : earlier.samples()) {
             before.put(sample.name() + sample.labels(), sample.value());
         }
+        if (anyCounterFell(before)) {
+            return this;
+        }
         List<Sample> added = new ArrayList<>();
         for (Sample sample : samples) {
             double old = before.getOrDefault(sample.name() + sample.labels(), 0.0);
-            double value = sample.value() < old ? sample.value() : sample.value() - old;
-            added.add(new Sample(sample.name(), sample.labels(), value));
+            added.add(new Sample(sample.name(), sample.labels(), sample.value() - old));
         }
         return new MetricsText(added);
     }
+
+    private boolean anyCounterFell(Map<String, Double> before) {
+        for (Sample sample : samples) {
+            double old = before.getOrDefault(sample.name() + sample.labels(), 0.0);
+            if (sample.name().endsWith(COUNTER) && sample.value() < old) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/RunFolder.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/RunFolder.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.wagtaillug.standin.http.Json;
 import org.wagtaillug.standin.load.LoadReport;
@@ -23,6 +24,8 @@
  * @param last the nodes' figures at the end
  * @param counters what the upstreams had counted, by the name of the reading and the upstream
  * @param actions what the script did
+ * @param domainOutAt when the log service took the change that took a failure domain out, in Unix milliseconds; empty if
+ *     there was none
  * @param digests the digests of the nodes' configuration at the end
  */
 record RunFolder(
@@ -33,6 +36,7 @@
         Reading last,
         Map<String, Map<String, Counters>> counters,
         List<Done> actions,
+        OptionalLong domainOutAt,
         List<String> digests) {
     private static final String COUNTERS = "counters-";
 
@@ -72,6 +76,7 @@
                     reading(folder.resolve("metrics-end")),
                     counters,
                     actions(folder.resolve("actions.log")),
+                    recordTime(folder.resolve("domain-out.json")),
                     Files.readAllLines(folder.resolve("digests.txt"))));
         } catch (IOException unreadable) {
             return Either.left(folder + ": not a whole run, cannot read " + unreadable.getMessage());
@@ -111,6 +116,18 @@
         return counters;
     }
 
+    private static OptionalLong recordTime(Path file) throws IOException {
+        if (!Files.exists(file)) {
+            return OptionalLong.empty();
+        }
+        JsonNode time = Json.mapper()
+                .readTree(Files.readAllBytes(file))
+                .path("records")
+                .path(0)
+                .path("time");
+        return time.isIntegralNumber() ? OptionalLong.of(time.asLong()) : OptionalLong.empty();
+    }
+
     private static List<Done> actions(Path file) throws IOException {
         List<Done> actions = new ArrayList<>();
         if (!Files.exists(file)) {
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/RunReport.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/RunReport.java
@@ -64,7 +64,8 @@
      * One upstream that was to get no new work.
      *
      * @param why {@code domain-out} or {@code leaving}
-     * @param lastAfterMillis how long after the change it took its last work; negative if before
+     * @param lastAfterMillis how long after the change it took its last work; negative if before. A failure domain's change
+     *     counts from when the log service took it, a leaving upstream's from when the VM list was told
      */
     record NewWork(String upstream, String why, long lastAfterMillis) {}
 
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/Summary.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/experiment/Summary.java
@@ -138,12 +138,15 @@
         Map<String, Counters> beforeBack = folder.counters().getOrDefault("before-back", Map.of());
         Map<String, Counters> afterLeaving = folder.counters().getOrDefault("after-leaving", Map.of());
         for (RunFacts.UpstreamFacts upstream : folder.facts().upstreams()) {
+            boolean domainIsOut = upstream.domain().equals(folder.facts().domain())
+                    && folder.domainOutAt().isPresent();
             Counters out = beforeBack.get(upstream.name());
-            if (out != null && upstream.domain().equals(folder.facts().domain())) {
-                work.add(newWork(upstream, "domain-out", out, domainOutAt()));
+            if (domainIsOut && hasWorked(out)) {
+                work.add(newWork(
+                        upstream, "domain-out", out, folder.domainOutAt().getAsLong()));
             }
             Counters left = afterLeaving.get(upstream.name());
-            if (left != null && upstream.leaves()) {
+            if (upstream.leaves() && hasWorked(left)) {
                 work.add(newWork(upstream, "leaving", left, leavingAt(upstream.name())));
             }
         }
@@ -154,13 +157,8 @@
         return new RunReport.NewWork(upstream.name(), why, counters.lastTakenAt() - at);
     }
 
-    private long domainOutAt() {
-        for (RunFolder.Done action : folder.actions()) {
-            if (action.words().startsWith("domain-out")) {
-                return action.begunAt();
-            }
-        }
-        return folder.startedAt();
+    private static boolean hasWorked(Counters counters) {
+        return counters != null && counters.lastTakenAt() > 0;
     }
 
     private long leavingAt(String upstream) {
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/FakeNode.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/FakeNode.java
@@ -25,6 +25,12 @@
     final Set<String> keys = ConcurrentHashMap.newKeySet();
     final AtomicInteger executionsOfEachKey = new AtomicInteger(1);
 
+    /** While set, connections break instead of an answer. */
+    volatile boolean breaks;
+
+    /** While set, requests are refused with a time after which they may be tried again. */
+    volatile boolean refusesForNow;
+
     private FakeNode(boolean ready) throws IOException {
         this.ready = ready;
         server.add(this, "127.0.0.1", 0);
@@ -89,6 +95,14 @@
         String id = exchange.header("Wagtaillug-Request").orElse("");
         requests.add(id);
         exchange.header("Idempotency-Key").ifPresent(keys::add);
+        if (breaks) {
+            exchange.abort();
+            return;
+        }
+        if (refusesForNow) {
+            answer(exchange, 503, "{\"result_code\": 500, \"run\": \"not-run\", \"retry_after_millis\": 1}");
+            return;
+        }
         String template = exchange.segments().get(2);
         JsonNode body = Json.read(exchange.body(), JsonNode.class).get();
         switch (template) {
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadFileTest.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadFileTest.java
@@ -82,6 +82,29 @@
         assertThat(arrivals).isSortedAccordingTo((one, other) -> Long.compare(one.atNanos(), other.atNanos()));
     }
 
+    @ParameterizedTest
+    @CsvSource({"70s, warm_up: expected a time below the duration", "25s, burst.at: expected a time after the warm-up"})
+    void refusesAWarmUpThatDoesNotFit(String warmUp, String problem) throws IOException {
+        Path file = file(WHOLE + "warm_up: " + warmUp + "\n");
+        assertThat(LoadFile.read(file).getLeft()).contains(problem);
+    }
+
+    /** The rate rises evenly over the warm-up, so that half of it brings a quarter of its requests. */
+    @Test
+    void theWarmUpRisesToTheWholeRate() throws IOException {
+        LoadFile file = LoadFile.read(file(WHOLE.replace("rate: 100", "rate: 100\nwarm_up: 20s")))
+                .getOrElseThrow(problem -> new AssertionError(problem));
+        long[] parts = new long[6];
+        for (Arrival arrival : Schedule.arrivals(file, 1)) {
+            parts[(int) (arrival.atNanos() / 10_000_000_000L)]++;
+        }
+        assertThat(parts[0]).isBetween(200L, 300L);
+        assertThat(parts[1]).isBetween(670L, 830L);
+        assertThat(parts[2]).isBetween(2_800L, 3_200L);
+        assertThat(parts[3]).isBetween(900L, 1_100L);
+        assertThat(parts[5]).isBetween(900L, 1_100L);
+    }
+
     @Property(seed = "11", tries = 50)
     void eventsComeOutWholeHoweverTheBytesAreCut(@ForAll @IntRange(min = 1, max = 40) int piece) {
         byte[] bytes = ": comment\ndata: {\"a\":\"é\"}\n\nevent: end\r\ndata: 1\ndata: 2\n\ndata: cut"
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
@@ -144,6 +144,56 @@
         }
     }
 
+    /**
+     * A node breaks its connections, or refuses for now. A caller with an idempotency key cannot tell whether its booking
+     * ran, asks another node under the same key and is served; one without a key has no way to ask again.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, true", "true, false", "false, true", "false, false"})
+    void asksAnotherNodeOnceUnderTheSameKey(boolean keyed, boolean breaks) throws Exception {
+        try (FakeNode wrong = FakeNode.start(true);
+                FakeNode right = FakeNode.start(true)) {
+            wrong.breaks = breaks;
+            wrong.refusesForNow = !breaks;
+            String kind = kind("book", false, ", idempotency_key: " + keyed);
+            LoadReport report = run(file(wrong.url() + ", " + right.url(), kind, ""));
+            GroupReport total = report.total();
+            int missed = wrong.requests.size();
+            assertThat(missed).isPositive();
+            assertThat(total.served()).isEqualTo(keyed ? total.offered() : total.offered() - missed);
+            assertThat(total.lost()).isEqualTo(!keyed && breaks ? missed : 0);
+            assertThat(total.refused()).isEqualTo(!keyed && !breaks ? missed : 0);
+            assertThat(report.retried()).isEqualTo(keyed ? missed : 0);
+            assertThat(right.keys).hasSize(keyed ? (int) total.offered() : 0).containsAll(wrong.keys);
+        }
+    }
+
+    @Test
+    void asksNoThirdTime() throws Exception {
+        try (FakeNode node = FakeNode.start(true)) {
+            node.refusesForNow = true;
+            LoadReport report = run(file(node.url(), kind("book", false, ", idempotency_key: true"), ""));
+            assertThat(report.total().refused())
+                    .isEqualTo(report.total().offered())
+                    .isEqualTo(report.retried());
+            assertThat(report.total().refusedByRun()).containsOnlyKeys("not-run");
+            assertThat(report.notRun()).hasSize((int) report.retried());
+        }
+    }
+
+    @Test
+    void doesNotCountTheWarmUp() throws Exception {
+        try (FakeNode node = FakeNode.start(true)) {
+            LoadFile file = file(node.url(), kind("ask", false, ""), "warm_up: 300ms\n");
+            GroupReport total = run(file).total();
+            long counted = 0;
+            for (Arrival arrival : Schedule.arrivals(file, 1)) {
+                counted += arrival.atNanos() >= 300_000_000 ? 1 : 0;
+            }
+            assertThat(total.offered()).isEqualTo(counted).isLessThan(node.requests.size());
+        }
+    }
+
     @Test
     void theCommandWritesReportAndPlot() throws Exception {
         try (FakeNode node = FakeNode.start(true)) {
