--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
@@ -326,6 +326,10 @@
      * fresh too; one that is fresh and does not vouch has another state, so that this node cannot trust its own.
      */
     private boolean outage(Instant now) {
+        if (watchedRoster != state.rosterOffset()) {
+            // The peers that are watched are not those of the roster until the next tick.
+            return false;
+        }
         int heard = 0;
         for (Watch watch : watches.all()) {
             if (!watch.heard(now) || watch.last().isEmpty()) {
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/configuration/ControlLogTest.java
@@ -0,0 +1,312 @@
+package org.wagtaillug.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wagtaillug.contract.Body;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.OperatorId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.log.LogBatch;
+import org.wagtaillug.log.LogRecord;
+import org.wagtaillug.log.LogRecord.Change;
+import org.wagtaillug.log.LogRecord.NodeAddress;
+import org.wagtaillug.log.LogRecord.RosterChange;
+import org.wagtaillug.log.LogRecord.RosterChangeKind;
+import org.wagtaillug.log.LogRecord.SnapshotPart;
+import org.wagtaillug.message.PeerMessage;
+import org.wagtaillug.node.Effect;
+import org.wagtaillug.node.Effects;
+import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.result.RunState;
+
+class ControlLogTest {
+    private static final NodeId SELF = new NodeId(new VmId("entry-1"), 1);
+    private static final NodeAddress ADDRESS = new NodeAddress("127.0.0.1", 7000, new DomainId("pl-a"));
+    private static final String KEY = Body.domainKey(new DomainId("pl-a"));
+
+    private final FakeLog stream = new FakeLog();
+    private final Effects effects = new Effects();
+    private final ControlLog log =
+            ControlLog.builder(SELF, ADDRESS, new ControlState()).build();
+    private Instant now = Instant.EPOCH;
+
+    @BeforeEach
+    void readToTheTail() {
+        log.onTick(now, effects);
+        read(1);
+        effects.drain();
+    }
+
+    private void read(long from) {
+        log.onLogRead(now, stream.read(from, 100), now, effects);
+    }
+
+    private List<Effect> tickAfter(long milliseconds) {
+        now = now.plusMillis(milliseconds);
+        log.onTick(now, effects);
+        return effects.drain();
+    }
+
+    private static Change change(String id, long base, boolean out) {
+        return new Change(KEY, base, new Body.DomainService(new DomainId("pl-a"), out), new OperatorId("anita"), id);
+    }
+
+    /** Submits a change and gives the number of its append. */
+    private long submit(Change change) {
+        log.submit(change, now, effects);
+        List<Effect> found = effects.drain();
+        assertThat(found).hasSize(1).first().isInstanceOf(Effect.AppendToLog.class);
+        return ((Effect.AppendToLog) found.getFirst()).append();
+    }
+
+    private Effect.ChangeRefused refusal() {
+        for (Effect effect : effects.drain()) {
+            if (effect instanceof Effect.ChangeRefused refused) {
+                return refused;
+            }
+        }
+        throw new AssertionError("no refusal");
+    }
+
+    @Test
+    void readsAgainAfterAFailureWithLongerAndLongerPauses() {
+        List<Long> pauses = new ArrayList<>();
+        tickAfter(50);
+        for (int failure = 0; failure < 5; failure++) {
+            log.onLogReadFailed(now, effects);
+            assertThat(log.logReachable(now)).isFalse();
+            long pause = 0;
+            while (tickAfter(100).isEmpty()) {
+                pause += 100;
+            }
+            pauses.add(pause + 100);
+        }
+        assertThat(pauses).containsExactly(200L, 400L, 800L, 1000L, 1000L);
+    }
+
+    /**
+     * A node never hears of a change again: the connection of its read went silent, and nothing ends the read. It must
+     * count the log as unreachable first, and then read on a new connection.
+     */
+    @Test
+    void givesUpAReadOnASilentConnection() {
+        assertThat(tickAfter(50)).contains(new Effect.ReadLog(org.wagtaillug.log.LogStream.CONTROL, 1));
+        assertThat(log.logReachable(now)).isTrue();
+        tickAfter(ControlLog.READ_SLOW.toMillis());
+        assertThat(log.logReachable(now)).isFalse();
+        assertThat(tickAfter(3_400)).isEmpty();
+        tickAfter(100);
+        assertThat(tickAfter(200)).hasSize(1);
+        stream.append(change("c", 0, true), now);
+        read(1);
+        assertThat(log.logReachable(now)).isTrue();
+        assertThat(log.state().through()).isEqualTo(1);
+    }
+
+    @Test
+    void theTailIsKnownAsOfTheSendingOfTheRead() {
+        Instant sent = now.plusMillis(50);
+        tickAfter(50);
+        LogBatch batch = stream.read(1, 100);
+        now = now.plusSeconds(2);
+        log.onLogRead(sent, batch, now, effects);
+        assertThat(log.tailAskedAt()).contains(sent);
+        stream.append(change("c", 0, true), now);
+        stream.append(change("d", 1, false), now);
+        log.onLogRead(now, stream.read(1, 1), now, effects);
+        assertThat(log.tailAskedAt()).as("one record was left").contains(sent);
+    }
+
+    @Test
+    void acceptsAChangeOnlyWhenItsRecordIsRead() {
+        long append = submit(change("c", 0, true));
+        stream.append(change("c", 0, true), now);
+        assertThat(log.onAppended(append, 1, now, effects)).isTrue();
+        assertThat(effects.drain()).isEmpty();
+        read(1);
+        assertThat(effects.drain()).contains(new Effect.ChangeAccepted("c", 1));
+        assertThat(log.onAppended(append, 1, now, effects)).isFalse();
+    }
+
+    /**
+     * Two operators take a zone out and bring it back at the same time, and both are told that it worked. The one whose
+     * record comes second must be told which version won.
+     */
+    @Test
+    void theSecondOfTwoCrossingChangesIsRefusedNotRun() {
+        submit(change("c", 0, true));
+        stream.append(change("other", 0, false), now);
+        stream.append(change("c", 0, true), now);
+        read(1);
+        Effect.ChangeRefused refused = refusal();
+        assertThat(refused.refusal().code()).isEqualTo(ResultCode.CHANGE_CROSSED);
+        assertThat(refused.refusal().run()).isEqualTo(RunState.NOT_RUN);
+        assertThat(refused.refusal().message()).contains("from version 0").contains("version 1 is in force");
+        log.submit(change("late", 0, true), now, effects);
+        assertThat(refusal().refusal().code()).isEqualTo(ResultCode.CHANGE_CROSSED);
+    }
+
+    /**
+     * An operator is told that a change failed, and minutes later it is in force: the log took it, but the answer was
+     * lost. The record's own coming must decide.
+     */
+    @Test
+    void aLostAnswerIsSettledByReading() {
+        long append = submit(change("c", 0, true));
+        assertThat(log.onAppendFailed(append, true, now, effects)).isTrue();
+        assertThat(tickAfter(4_000)).noneMatch(effect -> effect instanceof Effect.ChangeRefused);
+        stream.append(change("c", 0, true), now);
+        read(1);
+        assertThat(effects.drain()).contains(new Effect.ChangeAccepted("c", 1));
+        log.submit(change("c", 0, true), now, effects);
+        assertThat(effects.drain()).as("asked again").containsExactly(new Effect.ChangeAccepted("c", 1));
+    }
+
+    @Test
+    void aSurelyFailedAppendIsNotRunAndAnUncertainOneUnknownInTheEnd() {
+        log.onAppendFailed(submit(change("c", 0, true)), false, now, effects);
+        assertThat(refusal().refusal().run()).isEqualTo(RunState.NOT_RUN);
+        log.onAppendFailed(submit(change("d", 0, true)), true, now, effects);
+        now = now.plusMillis(4_999);
+        read(1);
+        assertThat(tickAfter(1)).noneMatch(effect -> effect instanceof Effect.ChangeRefused);
+        read(1);
+        log.onTick(now, effects);
+        assertThat(refusal().refusal().run()).isEqualTo(RunState.UNKNOWN);
+    }
+
+    @Test
+    void anOperatorWaitsThirtySecondsAtMostWhileTheLogIsDown() {
+        log.onAppendFailed(submit(change("c", 0, true)), true, now, effects);
+        log.onLogReadFailed(now, effects);
+        assertThat(tickAfter(29_999)).noneMatch(effect -> effect instanceof Effect.ChangeRefused);
+        log.onTick(now.plusMillis(1), effects);
+        assertThat(refusal().refusal().run()).isEqualTo(RunState.UNKNOWN);
+    }
+
+    @Test
+    void refusesAtTheDoorWhatCannotBeRight() {
+        Change wrongKey = new Change("domain/pl-b", 0, change("c", 0, true).body(), new OperatorId("anita"), "c");
+        log.submit(wrongKey, now, effects);
+        assertThat(refusal().refusal().message()).contains("expected domain/pl-a");
+        Body large = new Body.Unknown("x", "y".repeat(150_000));
+        log.submit(new Change("x/1", 0, large, new OperatorId("anita"), "d"), now, effects);
+        assertThat(refusal().refusal().code()).isEqualTo(ResultCode.TOO_LARGE);
+        submit(change("e", 0, true));
+        log.submit(change("e", 1, true), now, effects);
+        assertThat(refusal().refusal().message()).contains("unique");
+        ControlLog starting =
+                ControlLog.builder(SELF, ADDRESS, new ControlState()).build();
+        starting.submit(change("c", 0, true), now, effects);
+        assertThat(refusal().refusal().code()).isEqualTo(ResultCode.NOT_READY);
+    }
+
+    /** A state taken over from a peer jumps past the record of a change that is waiting here. */
+    @Test
+    void afterAJumpTheKeysVersionJudges() {
+        long won = submit(change("c", 0, true));
+        log.onAppended(won, 1, now, effects);
+        ControlState peer = new ControlState();
+        stream.append(change("c", 0, true), now);
+        stream.append(change("d", 1, false), now);
+        stream.append(change("e", 1, true), now);
+        peer.fold(stream.all().get(0));
+        assertThat(log.onStateReply(new PeerMessage.StateReply(1, peer.entries(), List.of()), now, effects))
+                .isTrue();
+        assertThat(effects.drain()).contains(new Effect.ChangeAccepted("c", 1));
+        log.onAppended(submit(change("e", 1, true)), 3, now, effects);
+        log.onAppended(submit(change("d", 1, false)), 2, now, effects);
+        peer.fold(stream.all().get(1));
+        peer.fold(stream.all().get(2));
+        log.onStateReply(new PeerMessage.StateReply(3, peer.entries(), List.of()), now, effects);
+        List<Effect> found = effects.drain();
+        assertThat(found).contains(new Effect.ChangeAccepted("d", 2));
+        assertThat(found)
+                .anyMatch(effect -> effect instanceof Effect.ChangeRefused refused
+                        && refused.changeId().equals("e")
+                        && refused.refusal().code() == ResultCode.CHANGE_CROSSED);
+    }
+
+    /**
+     * After the log service was set up anew, empty, every node would take the empty log for the truth and drop what
+     * operators have set. It must hold on to its state and not count as having read the tail.
+     */
+    @Test
+    void aLogThatWentBackIsNotFollowed() {
+        stream.append(change("c", 0, true), now);
+        read(1);
+        Optional<Instant> tail = log.tailAskedAt();
+        now = now.plusSeconds(1);
+        log.onLogRead(now, new FakeLog().read(2, 100), now, effects);
+        assertThat(log.logReachable(now)).isFalse();
+        assertThat(log.tailAskedAt()).isEqualTo(tail);
+        assertThat(log.state().entry(KEY)).isPresent();
+    }
+
+    @Test
+    void writesASnapshotInPartsThatFitWhenNoneWasSeen() {
+        stream.append(new RosterChange(RosterChangeKind.JOIN, SELF, SELF, Optional.of(ADDRESS)), now);
+        for (int key = 0; key < 10; key++) {
+            Body body = new Body.Unknown("x", "y".repeat(30_000));
+            stream.append(new Change("x/" + key, 0, body, new OperatorId("anita"), "c" + key), now);
+        }
+        read(1);
+        assertThat(snapshots(tickAfter(50))).isEmpty();
+        now = now.plus(ControlLog.DEFAULT_SNAPSHOT_EVERY).minusMillis(51);
+        read(12);
+        assertThat(snapshots(tickAfter(0))).isEmpty();
+        List<SnapshotPart> parts = snapshots(tickAfter(51));
+        assertThat(parts).hasSize(4);
+        assertThat(snapshots(tickAfter(50))).isEmpty();
+        SnapshotAssembler assembler = new SnapshotAssembler();
+        Optional<SnapshotAssembler.Snapshot> whole = Optional.empty();
+        for (SnapshotPart part : parts.reversed()) {
+            whole = assembler.accept(part);
+            stream.append(part, now);
+        }
+        assertThat(whole.get().entries()).isEqualTo(log.state().entries());
+        assertThat(whole.get().members()).isEqualTo(log.state().members());
+        read(12);
+        now = now.plus(ControlLog.DEFAULT_SNAPSHOT_EVERY).minus(Duration.ofSeconds(1));
+        read(16);
+        assertThat(snapshots(tickAfter(0))).isEmpty();
+        assertThat(snapshots(tickAfter(1_000))).isNotEmpty();
+    }
+
+    private static List<SnapshotPart> snapshots(List<Effect> effects) {
+        List<SnapshotPart> parts = new ArrayList<>();
+        for (Effect effect : effects) {
+            if (effect instanceof Effect.AppendToLog append && append.record() instanceof SnapshotPart part) {
+                parts.add(part);
+            }
+        }
+        return parts;
+    }
+
+    @Test
+    void aSnapshotLeavesTheRecordsAfterItsOffsetToBeRead() {
+        for (int count = 0; count < 3; count++) {
+            stream.append(change("c" + count, count, true), now);
+        }
+        ControlState early = new ControlState();
+        early.fold(stream.all().get(0));
+        LogRecord part = new SnapshotPart("s", 1, 0, 1, early.entries(), List.of());
+        stream.append(part, now);
+        stream.dropBefore(2);
+        ControlLog late = ControlLog.builder(SELF, ADDRESS, new ControlState()).build();
+        late.onLogRead(now, stream.read(1, 100), now, effects);
+        assertThat(late.complete()).isFalse();
+        assertThat(late.state().through()).isEqualTo(1);
+        late.onLogRead(now, stream.read(2, 100), now, effects);
+        assertThat(late.complete()).isTrue();
+        assertThat(late.state().versionOf(KEY)).isEqualTo(3);
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/configuration/ControlStateTest.java
@@ -0,0 +1,175 @@
+package org.wagtaillug.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.EdgeCasesMode;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.wagtaillug.contract.Body;
+import org.wagtaillug.contract.CustomerContract;
+import org.wagtaillug.contract.PlacementContract;
+import org.wagtaillug.contract.PoolContract;
+import org.wagtaillug.contract.Stage;
+import org.wagtaillug.contract.Template;
+import org.wagtaillug.id.CustomerId;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.ModelId;
+import org.wagtaillug.id.OperatorId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RegionId;
+import org.wagtaillug.id.TemplateId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.log.LogBatch;
+import org.wagtaillug.log.LogRecord.Change;
+import org.wagtaillug.log.LogRecord.StateEntry;
+import org.wagtaillug.membership.Vm;
+
+class ControlStateTest {
+    @Provide
+    Arbitrary<List<RecordSteps.Step>> steps() {
+        return RecordSteps.lists(60);
+    }
+
+    @Property(tries = 400, seed = "20261202", edgeCases = EdgeCasesMode.NONE)
+    void foldsLikeTheNaiveVersionAfterEachRecord(@ForAll("steps") List<RecordSteps.Step> steps) {
+        List<LogBatch.Entry> entries = RecordSteps.logOf(steps).all();
+        ControlState state = new ControlState();
+        for (int count = 1; count <= entries.size(); count++) {
+            LogBatch.Entry entry = entries.get(count - 1);
+            state.fold(entry);
+            List<LogBatch.Entry> read = entries.subList(0, count);
+            assertThat(state.entries()).isEqualTo(NaiveControl.entries(read));
+            assertThat(state.members()).isEqualTo(NaiveControl.members(read));
+            if (entry.record() instanceof Change change) {
+                boolean won = NaiveControl.versions(read, change.key()).getLast() == count;
+                assertThat(state.won(count)).isEqualTo(won);
+            }
+        }
+    }
+
+    @Property(tries = 200, seed = "20261203", edgeCases = EdgeCasesMode.NONE)
+    void equalStatesHaveEqualDigestsWhateverTheWayTheyCame(@ForAll("steps") List<RecordSteps.Step> steps) {
+        ControlState folded = folded(RecordSteps.logOf(steps));
+        List<StateEntry> shuffled = new ArrayList<>(folded.entries());
+        Collections.shuffle(shuffled, new Random(steps.size()));
+        ControlState adopted = new ControlState();
+        assertThat(adopted.adopt(folded.through(), shuffled, folded.members().reversed()))
+                .isTrue();
+        assertThat(adopted.digest()).isEqualTo(folded.digest());
+        assertThat(adopted.entries()).isEqualTo(folded.entries());
+        if (!shuffled.isEmpty()) {
+            StateEntry last = shuffled.getLast();
+            shuffled.set(shuffled.size() - 1, new StateEntry(last.key(), last.version(), new Body.Unknown("x", "y")));
+            ControlState other = new ControlState();
+            other.adopt(folded.through(), shuffled, folded.members());
+            assertThat(other.digest()).isNotEqualTo(folded.digest());
+        }
+    }
+
+    static ControlState folded(FakeLog log) {
+        ControlState state = new ControlState();
+        log.all().forEach(state::fold);
+        return state;
+    }
+
+    @Test
+    void namesBothOffsetsWhenARecordIsMissing() {
+        ControlState state = new ControlState();
+        state.fold(change(1, 0, out(true)));
+        assertThatThrownBy(() -> state.fold(change(3, 1, out(false))))
+                .isInstanceOf(IllegalStateException.class)
+                .hasMessageContaining("record 3 does not follow record 1");
+        state.fold(change(1, 0, out(false)));
+        assertThat(state.through()).isEqualTo(1);
+    }
+
+    @Test
+    void takesNoStateThatIsNotNewerOrThatContradictsItself() {
+        ControlState state = new ControlState();
+        state.fold(change(1, 0, out(true)));
+        state.fold(change(2, 1, out(false)));
+        StateEntry old = new StateEntry(Body.domainKey(new DomainId("pl-a")), 1, out(true));
+        assertThat(state.adopt(1, List.of(old), List.of())).isFalse();
+        assertThat(state.adopt(2, List.of(old), List.of())).isFalse();
+        assertThat(state.adopt(3, List.of(new StateEntry("pool/x", 4, old.body())), List.of()))
+                .isFalse();
+        assertThat(state.repair(state.digest() + 1, 3, List.of(old), List.of())).isFalse();
+        assertThat(state.entry(old.key()).get().body()).isEqualTo(out(false));
+    }
+
+    @Test
+    void aPeerThatCannotReadABodyDoesNotTakeItAway() {
+        ControlState state = new ControlState();
+        state.fold(change(1, 0, out(true)));
+        StateEntry unread = new StateEntry(Body.domainKey(new DomainId("pl-a")), 1, new Body.Unknown("domain", "{}"));
+        assertThat(state.adopt(2, List.of(unread), List.of())).isTrue();
+        assertThat(state.inService(vm("engine-1", "pl-a"))).isFalse();
+    }
+
+    @Test
+    void showsWhatIsInForce() {
+        Template template = Template.builder("menu-draft")
+                .stage(Stage.builder("encode").build())
+                .build();
+        CustomerContract customer = new CustomerContract(
+                new CustomerId("ramdin"),
+                2,
+                Map.of(
+                        template.id(),
+                        new CustomerContract.Parameters(
+                                Optional.of(Duration.ofSeconds(2)), Optional.empty(), Optional.empty())));
+        PoolContract pool = new PoolContract(new PoolId("rerank"), 1, 2, 3, true, false);
+        PlacementContract placement = new PlacementContract(new ModelId("menu-7b"), 1, new PoolId("generate"), 2);
+        List<Body> bodies =
+                List.of(template, customer, pool, placement, new Body.VmService(new VmId("engine-1"), true));
+        ControlState state = new ControlState();
+        long offset = 0;
+        for (Body body : bodies) {
+            offset++;
+            state.fold(change(offset, 0, body));
+        }
+        assertThat(state.template(template.id()).get().version()).isEqualTo(1);
+        assertThat(state.template(new TemplateId("other"))).isEmpty();
+        assertThat(state.templates()).containsExactly(template.id());
+        assertThat(state.customer(customer.id())).contains(customer);
+        assertThat(state.customers()).containsExactly(customer.id());
+        assertThat(state.pool(pool.id())).isEqualTo(pool);
+        assertThat(state.pool(new PoolId("x"))).isEqualTo(PoolContract.unspecified(new PoolId("x")));
+        assertThat(state.placements()).containsExactly(placement);
+        assertThat(state.inService(vm("engine-1", "pl-a"))).isFalse();
+        assertThat(state.inService(vm("engine-2", "pl-a"))).isTrue();
+        assertThat(state.digest()).as("the same in every process and version").isEqualTo(7611673885716582422L);
+    }
+
+    private static Body out(boolean out) {
+        return new Body.DomainService(new DomainId("pl-a"), out);
+    }
+
+    private static LogBatch.Entry change(long offset, long base, Body body) {
+        Change change = new Change(body.key(), base, body, new OperatorId("anita"), "change-" + offset);
+        return new LogBatch.Entry(offset, Instant.EPOCH, change);
+    }
+
+    private static Vm vm(String id, String domain) {
+        return new Vm(
+                new VmId(id),
+                Optional.of(new PoolId("generate")),
+                new DomainId(domain),
+                new RegionId("port-louis"),
+                "127.0.0.1",
+                9000,
+                false);
+    }
+}
