--- a/wagtaillug-core/src/main/java/org/wagtaillug/configuration/ControlState.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/configuration/ControlState.java
@@ -2,11 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.wagtaillug.contract.Body;
 import org.wagtaillug.contract.CustomerContract;
@@ -14,6 +16,7 @@
 import org.wagtaillug.contract.PoolContract;
 import org.wagtaillug.contract.Template;
 import org.wagtaillug.id.CustomerId;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.TemplateId;
@@ -40,6 +43,8 @@
 
     private final Map<String, StateEntry> entries = new TreeMap<>();
     private final Map<VmId, StateMember> members = new TreeMap<>();
+    private final Set<DomainId> domainsOut = new HashSet<>();
+    private final Set<VmId> vmsOut = new HashSet<>();
     private final Map<Long, Judgement> judgementsByOffset = new LinkedHashMap<>();
     private final Map<String, Judgement> judgementsById = new LinkedHashMap<>();
     private long through;
@@ -129,7 +134,26 @@
         digest += CanonicalForm.hash(entry);
         if (before != null) {
             digest -= CanonicalForm.hash(before);
+            noteService(before, false);
         }
+        noteService(entry, true);
+    }
+
+    private void noteService(StateEntry entry, boolean inForce) {
+        if (entry.body() instanceof Body.DomainService service && entry.key().equals(service.key())) {
+            keep(domainsOut, service.domain(), inForce && service.out());
+        }
+        if (entry.body() instanceof Body.VmService service && entry.key().equals(service.key())) {
+            keep(vmsOut, service.vm(), inForce && service.out());
+        }
+    }
+
+    private static <T> void keep(Set<T> set, T item, boolean in) {
+        if (in) {
+            set.add(item);
+            return;
+        }
+        set.remove(item);
     }
 
     private void put(StateMember member) {
@@ -200,6 +224,8 @@
         Map<String, StateEntry> before = new TreeMap<>(entries);
         entries.clear();
         members.clear();
+        domainsOut.clear();
+        vmsOut.clear();
         digest = 0;
         for (StateEntry entry : newEntries) {
             put(readable(entry, before.get(entry.key())));
@@ -354,11 +380,6 @@
 
     @Override
     public boolean inService(Vm vm) {
-        StateEntry domain = entries.get(Body.domainKey(vm.domain()));
-        if (domain != null && domain.body() instanceof Body.DomainService service && service.out()) {
-            return false;
-        }
-        StateEntry single = entries.get(Body.vmKey(vm.id()));
-        return single == null || !(single.body() instanceof Body.VmService service) || !service.out();
+        return !domainsOut.contains(vm.domain()) && !vmsOut.contains(vm.id());
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.wagtaillug.configuration.ControlLog;
 import org.wagtaillug.configuration.ControlState;
@@ -43,7 +45,9 @@
  *
  * <p>Hence at no time do allowances of both live. The argument needs no clock that agrees with another, no view of who is
  * alive, and holds for any number of records read at once, since {@link Tenures} judges each one. It needs that the log's
- * order is one and that its reads are not stale. It says nothing of allowances that go without a grant.
+ * order is one, that its reads are not stale, that the failure domain of an upstream never changes, and that the present
+ * time which is handed in never goes back and goes on during a pause. It says nothing of allowances that go without a
+ * grant.
  */
 public final class Members implements Ownership, RosterListener {
     /** The most peers that a node probes. */
@@ -52,6 +56,8 @@
     private static final Duration REMOVAL_STEP = Duration.ofMillis(250);
     private static final Duration REMOVE_AGAIN = Duration.ofSeconds(2);
     private static final Duration LONG_SILENCE = Duration.ofSeconds(30);
+    private static final int MOST_DOUBLINGS = 8;
+    private static final int REMEMBERED_REMOVALS = 256;
     private static final Duration STOOD_STILL = Duration.ofSeconds(1);
 
     private final ControlLog log;
@@ -64,6 +70,8 @@
     private final RosterEntry entry;
     private final WatchList watches;
 
+    private final Map<NodeId, Integer> removals = new HashMap<>();
+
     private Optional<Instant> vouchedAt = Optional.empty();
     private Optional<Instant> lastTick = Optional.empty();
     private Optional<Instant> probedAt = Optional.empty();
@@ -153,8 +161,11 @@
             return;
         }
         watchedRoster = state.rosterOffset();
+        if (removals.size() > REMEMBERED_REMOVALS) {
+            removals.clear();
+        }
         List<StateMember> peers = peers();
-        watches.refresh(peers, now);
+        watches.refresh(peers, log.address().domain(), now);
         if (peers.equals(toldPeers)) {
             return;
         }
@@ -196,8 +207,7 @@
         }
         boolean trusted = hearsMost(now);
         for (Watch watch : watches.all()) {
-            Duration patience =
-                    trusted ? Timing.PEER_TIMEOUT.plus(REMOVAL_STEP.multipliedBy(watch.rank())) : LONG_SILENCE;
+            Duration patience = trusted ? patience(watch) : LONG_SILENCE;
             boolean silent = watch.silence(now).compareTo(patience) >= 0;
             if (!silent || watch.removalAskedWithin(REMOVE_AGAIN, now)) {
                 continue;
@@ -206,10 +216,22 @@
                 continue;
             }
             watch.removalAsked(now);
+            removals.merge(watch.node().get(), 1, Integer::sum);
             entry.remove(watch.node().get(), effects);
         }
     }
 
+    /**
+     * A peer that comes back after its removal lives, and is silent only towards this node: the link between the two is
+     * bad. It would be removed every few seconds, so this node waits twice as long each time; others who watch the peer
+     * notice its death as soon as ever.
+     */
+    private Duration patience(Watch watch) {
+        Duration first = Timing.PEER_TIMEOUT.plus(REMOVAL_STEP.multipliedBy(watch.turn()));
+        int before = watch.node().map(node -> removals.getOrDefault(node, 0)).orElse(0);
+        return first.multipliedBy(1L << Math.min(before, MOST_DOUBLINGS));
+    }
+
     /** Whether this node hears more than half of those it watches, or could not tell because it watches one or none. */
     private boolean hearsMost(Instant now) {
         return watches.all().size() <= 1 || 2 * heardCount(now) > watches.all().size();
@@ -257,6 +279,7 @@
         if (!watch.get().answered(sender, reply, now)) {
             return;
         }
+        removals.remove(sender);
         repair.heard(sender.vm(), reply.position(), now);
         Optional<Instant> knownAt = watch.get().tailKnownAt();
         if (knownAt.isEmpty() || !covers(reply.position())) {
@@ -321,9 +344,10 @@
     }
 
     /**
-     * Whether the log is down for everybody, as far as this node can tell. It hears a majority then, itself included, and
-     * nobody in it is ahead or fresh. A peer that is fresh and at or below this node's position would have made this node
-     * fresh too; one that is fresh and does not vouch has another state, so that this node cannot trust its own.
+     * Whether the log is down for everybody, as far as this node can tell. It hears a majority then, itself included (of the
+     * roster up to nine members, of those that it watches in a larger one), and nobody in it is ahead or fresh. A peer that
+     * is fresh and at or below this node's position would have made this node fresh too; one that is fresh and does not
+     * vouch has another state, so that this node cannot trust its own.
      */
     private boolean outage(Instant now) {
         if (watchedRoster != state.rosterOffset()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Watch.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Watch.java
@@ -18,7 +18,7 @@
     private final VmId vm;
     private final Optional<NodeId> node;
     private final Deque<SentProbe> probes = new ArrayDeque<>();
-    private int rank;
+    private final int turn;
     private Instant silentSince;
     private Optional<Instant> heardAt = Optional.empty();
     private Optional<ProbeReply> last = Optional.empty();
@@ -38,12 +38,12 @@
      *
      * @param vm where the peer runs
      * @param node which run of it; empty for a seed
-     * @param rank how many others watch it before this node
+     * @param turn from 0 to 7, so that of those who watch it one removes it first
      */
-    Watch(VmId vm, Optional<NodeId> node, int rank, Instant now) {
+    Watch(VmId vm, Optional<NodeId> node, int turn, Instant now) {
         this.vm = vm;
         this.node = node;
-        this.rank = rank;
+        this.turn = turn;
         this.silentSince = now;
     }
 
@@ -55,12 +55,8 @@
         return node;
     }
 
-    int rank() {
-        return rank;
-    }
-
-    void rank(int newRank) {
-        rank = newRank;
+    int turn() {
+        return turn;
     }
 
     Optional<ProbeReply> last() {
