--- a/wagtaillug-core/src/test/java/org/wagtaillug/configuration/ControlLogTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/configuration/ControlLogTest.java
@@ -1,6 +1,7 @@
 package org.wagtaillug.configuration;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.wagtaillug.configuration.Samples.ADDRESS;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -10,26 +11,23 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.wagtaillug.contract.Body;
-import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.OperatorId;
-import org.wagtaillug.id.VmId;
 import org.wagtaillug.log.LogBatch;
 import org.wagtaillug.log.LogRecord;
 import org.wagtaillug.log.LogRecord.Change;
-import org.wagtaillug.log.LogRecord.NodeAddress;
 import org.wagtaillug.log.LogRecord.RosterChange;
 import org.wagtaillug.log.LogRecord.RosterChangeKind;
 import org.wagtaillug.log.LogRecord.SnapshotPart;
+import org.wagtaillug.log.LogStream;
 import org.wagtaillug.message.PeerMessage;
 import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Effects;
 import org.wagtaillug.result.ResultCode;
 
 class ControlLogTest {
-    private static final NodeId SELF = new NodeId(new VmId("entry-1"), 1);
-    private static final NodeAddress ADDRESS = new NodeAddress("127.0.0.1", 7000, new DomainId("pl-a"));
-    private static final String KEY = Body.domainKey(new DomainId("pl-a"));
+    private static final NodeId SELF = Samples.node(1);
+    private static final String KEY = Body.domainKey(Samples.DOMAIN);
 
     private final FakeLog stream = new FakeLog();
     private final Effects effects = new Effects();
@@ -55,7 +53,7 @@
     }
 
     private static Change change(String id, long base, boolean out) {
-        return new Change(KEY, base, new Body.DomainService(new DomainId("pl-a"), out), new OperatorId("anita"), id);
+        return Samples.change("anita", id, base, Samples.service(out));
     }
 
     /** Submits a change and gives the number of its append. */
@@ -97,7 +95,7 @@
      */
     @Test
     void givesUpAReadOnASilentConnection() {
-        assertThat(tickAfter(50)).contains(new Effect.ReadLog(org.wagtaillug.log.LogStream.CONTROL, 1));
+        assertThat(tickAfter(50)).contains(new Effect.ReadLog(LogStream.CONTROL, 1));
         assertThat(log.logReachable(now)).isTrue();
         tickAfter(ControlLog.READ_SLOW.toMillis());
         assertThat(log.logReachable(now)).isFalse();
--- a/wagtaillug-core/src/test/java/org/wagtaillug/configuration/ControlStateTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/configuration/ControlStateTest.java
@@ -24,17 +24,13 @@
 import org.wagtaillug.contract.Stage;
 import org.wagtaillug.contract.Template;
 import org.wagtaillug.id.CustomerId;
-import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.ModelId;
-import org.wagtaillug.id.OperatorId;
 import org.wagtaillug.id.PoolId;
-import org.wagtaillug.id.RegionId;
 import org.wagtaillug.id.TemplateId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.log.LogBatch;
 import org.wagtaillug.log.LogRecord.Change;
 import org.wagtaillug.log.LogRecord.StateEntry;
-import org.wagtaillug.membership.Vm;
 
 class ControlStateTest {
     @Provide
@@ -87,35 +83,35 @@
     @Test
     void namesBothOffsetsWhenARecordIsMissing() {
         ControlState state = new ControlState();
-        state.fold(change(1, 0, out(true)));
-        assertThatThrownBy(() -> state.fold(change(3, 1, out(false))))
+        state.fold(change(1, 0, Samples.service(true)));
+        assertThatThrownBy(() -> state.fold(change(3, 1, Samples.service(false))))
                 .isInstanceOf(IllegalStateException.class)
                 .hasMessageContaining("record 3 does not follow record 1");
-        state.fold(change(1, 0, out(false)));
+        state.fold(change(1, 0, Samples.service(false)));
         assertThat(state.through()).isEqualTo(1);
     }
 
     @Test
     void takesNoStateThatIsNotNewerOrThatContradictsItself() {
         ControlState state = new ControlState();
-        state.fold(change(1, 0, out(true)));
-        state.fold(change(2, 1, out(false)));
-        StateEntry old = new StateEntry(Body.domainKey(new DomainId("pl-a")), 1, out(true));
+        state.fold(change(1, 0, Samples.service(true)));
+        state.fold(change(2, 1, Samples.service(false)));
+        StateEntry old = new StateEntry(Body.domainKey(Samples.DOMAIN), 1, Samples.service(true));
         assertThat(state.adopt(1, List.of(old), List.of())).isFalse();
         assertThat(state.adopt(2, List.of(old), List.of())).isFalse();
         assertThat(state.adopt(3, List.of(new StateEntry("pool/x", 4, old.body())), List.of()))
                 .isFalse();
         assertThat(state.repair(state.digest() + 1, 3, List.of(old), List.of())).isFalse();
-        assertThat(state.entry(old.key()).get().body()).isEqualTo(out(false));
+        assertThat(state.entry(old.key()).get().body()).isEqualTo(Samples.service(false));
     }
 
     @Test
     void aPeerThatCannotReadABodyDoesNotTakeItAway() {
         ControlState state = new ControlState();
-        state.fold(change(1, 0, out(true)));
-        StateEntry unread = new StateEntry(Body.domainKey(new DomainId("pl-a")), 1, new Body.Unknown("domain", "{}"));
+        state.fold(change(1, 0, Samples.service(true)));
+        StateEntry unread = new StateEntry(Body.domainKey(Samples.DOMAIN), 1, new Body.Unknown("domain", "{}"));
         assertThat(state.adopt(2, List.of(unread), List.of())).isTrue();
-        assertThat(state.inService(vm("engine-1", "pl-a"))).isFalse();
+        assertThat(state.inService(Samples.upstream("engine-1", "pl-a"))).isFalse();
     }
 
     @Test
@@ -148,28 +144,12 @@
         assertThat(state.pool(pool.id())).isEqualTo(pool);
         assertThat(state.pool(new PoolId("x"))).isEqualTo(PoolContract.unspecified(new PoolId("x")));
         assertThat(state.placements()).containsExactly(placement);
-        assertThat(state.inService(vm("engine-1", "pl-a"))).isFalse();
-        assertThat(state.inService(vm("engine-2", "pl-a"))).isTrue();
+        assertThat(state.inService(Samples.upstream("engine-1", "pl-a"))).isFalse();
+        assertThat(state.inService(Samples.upstream("engine-2", "pl-a"))).isTrue();
         assertThat(state.digest()).as("the same in every process and version").isEqualTo(7611673885716582422L);
     }
 
-    private static Body out(boolean out) {
-        return new Body.DomainService(new DomainId("pl-a"), out);
-    }
-
     private static LogBatch.Entry change(long offset, long base, Body body) {
-        Change change = new Change(body.key(), base, body, new OperatorId("anita"), "change-" + offset);
-        return new LogBatch.Entry(offset, Instant.EPOCH, change);
-    }
-
-    private static Vm vm(String id, String domain) {
-        return new Vm(
-                new VmId(id),
-                Optional.of(new PoolId("generate")),
-                new DomainId(domain),
-                new RegionId("port-louis"),
-                "127.0.0.1",
-                9000,
-                false);
+        return new LogBatch.Entry(offset, Instant.EPOCH, Samples.change("anita", "change-" + offset, base, body));
     }
 }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/configuration/LateStarterTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/configuration/LateStarterTest.java
@@ -9,11 +9,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
-import org.wagtaillug.id.DomainId;
-import org.wagtaillug.id.NodeId;
-import org.wagtaillug.id.VmId;
 import org.wagtaillug.log.LogBatch;
-import org.wagtaillug.log.LogRecord;
 import org.wagtaillug.log.LogRecord.SnapshotPart;
 import org.wagtaillug.log.LogRecord.StateEntry;
 import org.wagtaillug.node.Effect;
@@ -25,7 +21,6 @@
  * the same as at a node that read everything, or the node must say that it is incomplete.
  */
 class LateStarterTest {
-    private static final NodeId SELF = new NodeId(new VmId("entry-9"), 9);
 
     @Provide
     Arbitrary<List<RecordSteps.Step>> steps() {
@@ -99,8 +94,8 @@
     }
 
     private static ControlLog read(FakeLog log) {
-        LogRecord.NodeAddress address = new LogRecord.NodeAddress("127.0.0.1", 7000, new DomainId("pl-a"));
-        ControlLog late = ControlLog.builder(SELF, address, new ControlState()).build();
+        ControlLog late = ControlLog.builder(Samples.node(9), Samples.ADDRESS, new ControlState())
+                .build();
         Effects effects = new Effects();
         for (int tick = 1; tick <= 60; tick++) {
             Instant now = Instant.ofEpochMilli(100L * tick);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/configuration/OperatorRaceGoldenTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/configuration/OperatorRaceGoldenTest.java
@@ -9,14 +9,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.wagtaillug.contract.Body;
-import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
-import org.wagtaillug.id.OperatorId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.log.LogBatch;
 import org.wagtaillug.log.LogRecord.Change;
-import org.wagtaillug.log.LogRecord.NodeAddress;
 import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Effects;
 
@@ -40,8 +36,7 @@
 
         Entry(String name) {
             this.name = name;
-            NodeAddress address = new NodeAddress("127.0.0.1", 7000, new DomainId("pl-a"));
-            log = ControlLog.builder(new NodeId(new VmId(name), 1), address, new ControlState())
+            log = ControlLog.builder(new NodeId(new VmId(name), 1), Samples.ADDRESS, new ControlState())
                     .build();
         }
 
@@ -93,8 +88,7 @@
     }
 
     private static Change change(String operator, String id, long base, boolean out) {
-        Body body = new Body.DomainService(new DomainId("pl-a"), out);
-        return new Change(body.key(), base, body, new OperatorId(operator), id);
+        return Samples.change(operator, id, base, Samples.service(out));
     }
 
     private void log(Change change) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/membership/MembersTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/membership/MembersTest.java
@@ -1,6 +1,8 @@
 package org.wagtaillug.membership;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.wagtaillug.configuration.Samples.ADDRESS;
+import static org.wagtaillug.configuration.Samples.node;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -13,14 +15,9 @@
 import org.wagtaillug.configuration.ControlLog;
 import org.wagtaillug.configuration.ControlState;
 import org.wagtaillug.configuration.FakeLog;
-import org.wagtaillug.contract.Body;
-import org.wagtaillug.id.DomainId;
+import org.wagtaillug.configuration.Samples;
 import org.wagtaillug.id.NodeId;
-import org.wagtaillug.id.OperatorId;
-import org.wagtaillug.id.PoolId;
-import org.wagtaillug.id.RegionId;
 import org.wagtaillug.id.VmId;
-import org.wagtaillug.log.LogRecord.Change;
 import org.wagtaillug.log.LogRecord.NodeAddress;
 import org.wagtaillug.log.LogRecord.RosterChange;
 import org.wagtaillug.log.LogRecord.RosterChangeKind;
@@ -36,15 +33,7 @@
 
 class MembersTest {
     private static final NodeId SELF = node(1);
-    private static final NodeAddress ADDRESS = new NodeAddress("127.0.0.1", 7000, new DomainId("pl-a"));
-    private static final Vm UPSTREAM = new Vm(
-            new VmId("engine-1"),
-            Optional.of(new PoolId("generate")),
-            new DomainId("pl-a"),
-            new RegionId("port-louis"),
-            "127.0.0.1",
-            9000,
-            false);
+    private static final Vm UPSTREAM = Samples.upstream("engine-1", "pl-a");
 
     private final FakeLog stream = new FakeLog();
     private final Effects effects = new Effects();
@@ -55,10 +44,6 @@
     private List<Effect> last = List.of();
     private Instant now = Instant.EPOCH;
 
-    private static NodeId node(int number) {
-        return new NodeId(new VmId("entry-" + number), 1);
-    }
-
     private long append(RosterChangeKind kind, NodeId subject, NodeId author) {
         Optional<NodeAddress> address = kind == RosterChangeKind.JOIN ? Optional.of(ADDRESS) : Optional.empty();
         return stream.append(new RosterChange(kind, subject, author, address), now);
@@ -295,8 +280,7 @@
     void watchesEightOverAllDomainsAndIsWatchedByFourToTwelve() {
         List<StateMember> roster = new ArrayList<>();
         for (int number = 1; number <= 40; number++) {
-            DomainId domain = new DomainId("pl-" + number % 3);
-            roster.add(new StateMember(node(number), number, new NodeAddress("127.0.0.1", 7000, domain)));
+            roster.add(new StateMember(node(number), number, Samples.address("pl-" + number % 3)));
         }
         Map<VmId, Integer> watchers = new HashMap<>();
         for (StateMember watcher : roster) {
@@ -390,12 +374,11 @@
     @Test
     void theOwnerLivesInTheUpstreamsOwnDomainWhereOneDoes() {
         roster(6);
-        Optional<NodeAddress> far = Optional.of(new NodeAddress("127.0.0.1", 7000, new DomainId("pl-b")));
-        stream.append(new RosterChange(RosterChangeKind.JOIN, node(7), node(7), far), now);
+        stream.append(
+                new RosterChange(RosterChangeKind.JOIN, node(7), node(7), Optional.of(Samples.address("pl-b"))), now);
         read();
-        Vm elsewhere = new Vm(
-                UPSTREAM.id(), UPSTREAM.pool(), new DomainId("pl-b"), UPSTREAM.region(), "127.0.0.1", 9000, false);
-        assertThat(members.ownerOf(elsewhere)).contains(node(7));
+
+        assertThat(members.ownerOf(Samples.upstream("engine-1", "pl-b"))).contains(node(7));
         assertThat(members.ownerOf(UPSTREAM)).isPresent().isNotEqualTo(Optional.of(node(7)));
     }
 
@@ -405,14 +388,7 @@
      */
     @Test
     void aCorruptNodeTakesTheStateThatTwoPeersAgreeOn() {
-        stream.append(
-                new Change(
-                        Body.domainKey(new DomainId("pl-a")),
-                        0,
-                        new Body.DomainService(new DomainId("pl-a"), true),
-                        new OperatorId("anita"),
-                        "c"),
-                now);
+        stream.append(Samples.change("anita", "c", 0, Samples.service(true)), now);
         roster(3);
         ControlState sound = new ControlState();
         stream.all().forEach(sound::fold);
@@ -439,8 +415,7 @@
     /** Replaces the entry by one that says the opposite, with a digest that fits. */
     private void corrupt() {
         ControlState other = new ControlState();
-        List<StateEntry> flipped = List.of(new StateEntry(
-                Body.domainKey(new DomainId("pl-a")), 1, new Body.DomainService(new DomainId("pl-a"), false)));
+        List<StateEntry> flipped = List.of(new StateEntry(Samples.service(false).key(), 1, Samples.service(false)));
         other.adopt(state.through(), flipped, state.members());
         assertThat(state.repair(other.digest(), state.through(), flipped, state.members()))
                 .isTrue();
--- a/wagtaillug-core/src/test/java/org/wagtaillug/membership/RosterWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/membership/RosterWorld.java
@@ -6,19 +6,15 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import org.wagtaillug.configuration.ControlLog;
 import org.wagtaillug.configuration.ControlState;
 import org.wagtaillug.configuration.FakeLog;
-import org.wagtaillug.id.DomainId;
+import org.wagtaillug.configuration.Samples;
 import org.wagtaillug.id.NodeId;
-import org.wagtaillug.id.PoolId;
-import org.wagtaillug.id.RegionId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.log.LogBatch;
-import org.wagtaillug.log.LogRecord.NodeAddress;
 import org.wagtaillug.message.PeerMessage;
 import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Effects;
@@ -75,8 +71,7 @@
 
         Machine(String vm, String domain) {
             id = new NodeId(new VmId(vm), time + 1);
-            NodeAddress address = new NodeAddress("127.0.0.1", 7000, new DomainId(domain));
-            control = ControlLog.builder(id, address, state).build();
+            control = ControlLog.builder(id, Samples.address(domain), state).build();
             members = new Members(control, List.of());
             members.onVmList(upstreams, clock());
             after(random.nextInt((int) TICK), this::tick);
@@ -135,14 +130,7 @@
     }
 
     void upstream(String vm, String domain) {
-        upstreams.add(new Vm(
-                new VmId(vm),
-                Optional.of(new PoolId("generate")),
-                new DomainId(domain),
-                new RegionId("port-louis"),
-                "127.0.0.1",
-                9000,
-                false));
+        upstreams.add(Samples.upstream(vm, domain));
     }
 
     void after(long delay, Runnable action) {
