--- a/wagtaillug-core/src/test/java/org/wagtaillug/membership/RosterWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/membership/RosterWorld.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.function.Predicate;
 import org.wagtaillug.configuration.ControlLog;
 import org.wagtaillug.configuration.ControlState;
 import org.wagtaillug.configuration.FakeLog;
@@ -68,6 +69,7 @@
         boolean dead;
         boolean cutFromLog;
         boolean cutFromPeers;
+        int side;
 
         Machine(String vm, String domain) {
             id = new NodeId(new VmId(vm), time + 1);
@@ -241,7 +243,7 @@
         }
         long late = random.nextInt(50) == 0 ? random.nextInt(4_000) : 0;
         for (Machine machine : List.copyOf(machines)) {
-            if (!machine.id.vm().equals(receiver) || machine.cutFromPeers) {
+            if (!machine.id.vm().equals(receiver) || machine.cutFromPeers || machine.side != sender.side) {
                 continue;
             }
             after(
@@ -251,6 +253,14 @@
         }
     }
 
+    /** Cuts some of the nodes off from the log and from all the others but themselves. */
+    void cut(Predicate<Machine> gone) {
+        for (Machine machine : machines) {
+            machine.side = gone.test(machine) ? 1 : 0;
+            machine.cutFromLog = gone.test(machine);
+        }
+    }
+
     /** Runs until nothing is amiss for a while. */
     void heal(Duration length) {
         logDown = false;
