--- a/wagtaillug-core/src/test/java/org/wagtaillug/membership/OwnershipSafetyTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/membership/OwnershipSafetyTest.java
@@ -3,10 +3,20 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.wagtaillug.configuration.ControlLog;
+import org.wagtaillug.configuration.ControlState;
+import org.wagtaillug.configuration.FakeLog;
+import org.wagtaillug.configuration.Samples;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.log.LogRecord.RosterChange;
+import org.wagtaillug.log.LogRecord.RosterChangeKind;
 import org.wagtaillug.membership.RosterWorld.Machine;
+import org.wagtaillug.node.Effects;
 
 /**
  * A cold upstream falls over under load that two nodes each thought small: both believed they owned it. It comes about
@@ -44,6 +54,62 @@
         }
     }
 
+    /**
+     * The old owner's clock is 2 % slow and the new one's 2 % fast: the one believes in its lease for longer, the other
+     * thinks that its wait is over sooner. What the old one granted last must have lapsed all the same.
+     */
+    @Test
+    void theHandoverOutlastsALeaseAndAGrantOnClocksOfDifferentRates() {
+        FakeLog stream = new FakeLog();
+        for (int number = 1; number <= 2; number++) {
+            NodeId node = Samples.node(number);
+            stream.append(
+                    new RosterChange(RosterChangeKind.JOIN, node, node, Optional.of(Samples.ADDRESS)), Instant.EPOCH);
+        }
+        ControlLog oldLog = log(1);
+        ControlLog newLog = log(2);
+        Members oldOwner = new Members(oldLog, List.of());
+        Members newOwner = new Members(newLog, List.of());
+        Instant changed = Instant.EPOCH.plusSeconds(60);
+        oldLog.onLogRead(Instant.EPOCH, stream.read(1, 10), Instant.EPOCH, new Effects());
+        oldLog.onLogRead(changed, stream.read(3, 10), changed, new Effects());
+        Vm upstream = ownedBy(oldOwner);
+        NodeId leaver = Samples.node(1);
+        stream.append(new RosterChange(RosterChangeKind.LEAVE, leaver, leaver, Optional.empty()), changed);
+        newLog.onLogRead(changed, stream.read(1, 10), changed, new Effects());
+        long last = 0;
+        while (oldOwner.mayGrant(upstream, changed.plusMillis((long) (last * (1 - RosterWorld.DRIFT))))) {
+            last++;
+        }
+        long first = 0;
+        while (first < 60_000) {
+            Instant now = changed.plusMillis((long) (first * (1 + RosterWorld.DRIFT)));
+            newLog.onLogRead(now, stream.read(4, 10), now, new Effects());
+            if (newOwner.mayGrant(upstream, now)) {
+                break;
+            }
+            first++;
+        }
+        assertThat(last).isGreaterThan(Timing.LEASE.toMillis());
+        assertThat(first - last)
+                .isGreaterThanOrEqualTo((long) (Timing.LONGEST_GRANT.toMillis() / (1 - RosterWorld.DRIFT)));
+        assertThat(first).isLessThan(60_000);
+    }
+
+    private static ControlLog log(int number) {
+        return ControlLog.builder(Samples.node(number), Samples.ADDRESS, new ControlState())
+                .build();
+    }
+
+    private static Vm ownedBy(Members owner) {
+        for (int number = 1; ; number++) {
+            Vm upstream = Samples.upstream("engine-" + number, "pl-a");
+            if (owner.ownerOf(upstream).equals(Optional.of(owner.self()))) {
+                return upstream;
+            }
+        }
+    }
+
     private static RosterWorld storm(long seed) {
         RosterWorld world = new RosterWorld(seed);
         int nodes = 3 + world.random.nextInt(3);
