--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Rendezvous.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Rendezvous.java
@@ -22,7 +22,12 @@
 
     /** The score of a candidate for a subject. The same in every process. */
     public long score(String subject, String candidate) {
-        return mix(hash(subject) + Long.rotateLeft(hash(candidate), 1));
+        return score(hash(subject), hash(candidate));
+    }
+
+    /** The score of a candidate for a subject whose names were hashed before. */
+    static long score(long subjectHash, long candidateHash) {
+        return mix(subjectHash + Long.rotateLeft(candidateHash, 1));
     }
 
     /** The place of a name on a ring. The same in every process. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Tenures.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Tenures.java
@@ -26,6 +26,9 @@
     private final Rendezvous rendezvous = new Rendezvous();
     private final Map<Place, Tenure> held = new HashMap<>();
     private final Map<Place, Optional<NodeId>> owners = new HashMap<>();
+    private final List<Candidate> candidates = new ArrayList<>();
+    private final Map<DomainId, List<Candidate>> candidatesByDomain = new HashMap<>();
+    private long candidatesOf = -1;
     private Set<Place> listed = Set.of();
     private Optional<Tenure> lastChange = Optional.empty();
 
@@ -44,6 +47,14 @@
         }
     }
 
+    /**
+     * A member that may own upstreams.
+     *
+     * @param node which
+     * @param hash of its VM's name
+     */
+    private record Candidate(NodeId node, long hash) {}
+
     /**
      * How long this node has owned an upstream.
      *
@@ -55,6 +66,7 @@
     void rosterChanged(long offset, Instant now) {
         Tenure gained = new Tenure(offset, now);
         lastChange = Optional.of(gained);
+        candidatesOf = -1;
         owners.clear();
         for (Place place : listed) {
             if (isOwn(place)) {
@@ -120,27 +132,40 @@
     }
 
     private Optional<NodeId> choose(Place place) {
-        List<NodeId> near = new ArrayList<>();
-        List<NodeId> all = new ArrayList<>();
-        for (StateMember member : state.members()) {
-            all.add(member.node());
-            if (member.address().domain().equals(place.domain())) {
-                near.add(member.node());
+        List<Candidate> near = candidatesIn(place.domain());
+        long subject = rendezvous.hash(place.vm().value());
+        Optional<NodeId> best = Optional.empty();
+        long bestScore = Long.MIN_VALUE;
+        for (Candidate candidate : near.isEmpty() ? candidates : near) {
+            long score = Rendezvous.score(subject, candidate.hash());
+            if (best.isPresent() && score <= bestScore) {
+                continue;
             }
+            best = Optional.of(candidate.node());
+            bestScore = score;
         }
-        return best(place, near.isEmpty() ? all : near);
+        return best;
     }
 
-    private Optional<NodeId> best(Place place, List<NodeId> candidates) {
-        NodeId best = null;
-        long bestScore = Long.MIN_VALUE;
-        for (NodeId candidate : candidates) {
-            long score = rendezvous.score(place.vm().value(), candidate.vm().value());
-            if (best == null || score > bestScore) {
-                best = candidate;
-                bestScore = score;
-            }
+    /** The members of a domain. All members are sorted out once for each roster, not for each upstream. */
+    private List<Candidate> candidatesIn(DomainId domain) {
+        if (candidatesOf != state.rosterOffset()) {
+            candidatesOf = state.rosterOffset();
+            sortCandidates();
+        }
+        return candidatesByDomain.getOrDefault(domain, List.of());
+    }
+
+    private void sortCandidates() {
+        candidates.clear();
+        candidatesByDomain.clear();
+        for (StateMember member : state.members()) {
+            Candidate candidate = new Candidate(
+                    member.node(), rendezvous.hash(member.node().vm().value()));
+            candidates.add(candidate);
+            candidatesByDomain
+                    .computeIfAbsent(member.address().domain(), domain -> new ArrayList<>())
+                    .add(candidate);
         }
-        return Optional.ofNullable(best);
     }
 }
