--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantHolder.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantHolder.java
@@ -177,6 +177,11 @@
     private void collect(
             HeldUpstream upstream, Map<NodeId, List<GrantDemand>> demands, Set<NodeId> waitingForCold, Instant now) {
         Optional<NodeId> owner = ownership.ownerOf(upstream.vm());
+        for (NodeId former : upstream.countedBy(now)) {
+            if (!owner.equals(Optional.of(former))) {
+                demands.computeIfAbsent(former, id -> new ArrayList<>()).add(upstream.demand(0, now));
+            }
+        }
         if (owner.isEmpty()) {
             upstream.unserved(now, now);
             return;
@@ -364,17 +369,26 @@
     /** How the grants of all upstreams stand, in the order of their names. */
     public List<GrantView> view(Instant now) {
         List<GrantView> views = new ArrayList<>();
-        for (HeldUpstream upstream : held.values()) {
-            VmId id = upstream.vm().id();
-            int allowance = open(upstream) ? most(upstream, now) : 0;
-            int inUse = upstream.inUse(now);
-            Optional<NodeId> owner = ownership.ownerOf(upstream.vm());
-            GrantView seen = new GrantView(id, owner, upstream.cold(), 0, Map.of(), allowance, inUse);
-            views.add(localOwner.view(id, allowance, inUse, now).orElse(seen));
+        for (VmId id : held.keySet()) {
+            views.add(view(id, now).get());
         }
         return views;
     }
 
+    /** How the grants of one upstream stand; empty if it is not listed. */
+    public Optional<GrantView> view(VmId upstream, Instant now) {
+        HeldUpstream which = held.get(upstream);
+        if (which == null) {
+            return Optional.empty();
+        }
+        int allowance = open(which) ? most(which, now) : 0;
+        boolean fixedShare = allowance > 0 && which.allowance(now) == 0;
+        Optional<NodeId> owner = ownership.ownerOf(which.vm());
+        GrantView seen =
+                new GrantView(upstream, owner, which.cold(), 0, Map.of(), allowance, fixedShare, which.inUse(now));
+        return Optional.of(localOwner.complete(seen, now));
+    }
+
     private boolean open(HeldUpstream upstream) {
         boolean leaving =
                 upstream.vm().leaving() || !listed.contains(upstream.vm().id());
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
@@ -245,21 +245,22 @@
         return taken;
     }
 
-    /** How an owned upstream stands; the allowance and use are this node's as its holder sees them. */
-    Optional<GrantView> view(VmId upstream, int allowance, int inUse, Instant now) {
-        UpstreamAccount account = accounts.get(upstream);
+    /** Adds to a holder's view of an upstream what only its owner knows. */
+    GrantView complete(GrantView seen, Instant now) {
+        UpstreamAccount account = accounts.get(seen.upstream());
         if (account == null) {
-            return Optional.empty();
+            return seen;
         }
         PoolContract contract = contract(account);
-        return Optional.of(new GrantView(
-                upstream,
-                Optional.of(ownership.self()),
+        return new GrantView(
+                seen.upstream(),
+                seen.owner(),
                 account.cold(contract),
                 account.limit(contract),
                 account.reserves(now),
-                allowance,
-                inUse));
+                seen.allowance(),
+                seen.fixedShare(),
+                seen.inUse());
     }
 
     private boolean owns(Vm vm) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantView.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantView.java
@@ -14,6 +14,7 @@
  * @param limit the most that all nodes together may have in flight there; 0 at nodes that do not own it
  * @param reserves the most that each node may have in flight there; empty at nodes that do not own it
  * @param allowance the most that this node may have in flight there now
+ * @param fixedShare whether that allowance is this node's fixed share of a warm upstream, because no owner answers
  * @param inUse how many this node has in flight there
  */
 public record GrantView(
@@ -23,4 +24,5 @@
         int limit,
         Map<NodeId, Integer> reserves,
         int allowance,
+        boolean fixedShare,
         int inUse) {}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.wagtaillug.health.LoadReport;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.membership.Vm;
@@ -31,6 +33,7 @@
     private int inFlight;
     private int startedBeforeRestart;
     private final List<Instant> lingering = new ArrayList<>();
+    private final Set<NodeId> countedBy = new TreeSet<>();
     private long succeeded;
 
     HeldUpstream(Vm vm) {
@@ -66,6 +69,22 @@
 
     void started() {
         inFlight++;
+        if (grantor.isPresent()) {
+            countedBy.add(grantor.get());
+        }
+    }
+
+    /**
+     * The owners that count what is in use here: all that granted since nothing was.
+     *
+     * <p>A node may learn of a new owner while the old one, which has not, still grants to others. Were the old one not
+     * told what is in use any more, it would take it for none and grant the same places once more.
+     */
+    Set<NodeId> countedBy(Instant now) {
+        if (inUse(now) == 0) {
+            countedBy.clear();
+        }
+        return countedBy;
     }
 
     /**
