--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
@@ -31,7 +31,7 @@
     private Instant unservedSince = Instant.MIN;
     private Instant unservedNoted = Instant.MIN;
     private int inFlight;
-    private int startedBeforeRestart;
+    private int startedBeforeNews;
     private final List<Instant> lingering = new ArrayList<>();
     private final Set<NodeId> countedBy = new TreeSet<>();
     private long succeeded;
@@ -92,27 +92,25 @@
      *
      * <p>A request whose connection fell silent may go on running: the upstream has lost track of the connection, not of
      * the work. It would show as one more request at a cold upstream than was granted. So its place stays taken for as
-     * long as an attempt may run, or until the upstream is known to have started anew.
+     * long as an attempt may run. Word of a new start does not free it: the attempt may have begun after that start.
      */
     void finished(Finish finish, Instant now) {
         if (inFlight == 0) {
             return;
         }
         inFlight--;
-        if (startedBeforeRestart > 0) {
-            startedBeforeRestart--;
-            return;
-        }
+        boolean ofThisStart = startedBeforeNews == 0;
+        startedBeforeNews = Math.max(0, startedBeforeNews - 1);
         switch (finish) {
-            case SUCCEEDED -> succeeded++;
-            case CANCELLED -> {
-                return;
-            }
+            case SUCCEEDED -> succeeded += ofThisStart ? 1 : 0;
             case FAILED -> {
                 lingering.add(now.plus(GrantOwner.LONGEST_ATTEMPT));
                 bar(now);
             }
             case OVERLOADED -> bar(now);
+            case CANCELLED -> {
+                // Says nothing of the upstream.
+            }
             default -> throw new IllegalStateException("unknown finish " + finish);
         }
     }
@@ -190,8 +188,7 @@
         LoadReport newest = offer.report().get();
         if (report.isPresent() && !report.get().startedAt().equals(newest.startedAt())) {
             turnCold();
-            startedBeforeRestart = inFlight;
-            lingering.clear();
+            startedBeforeNews = inFlight;
         }
         report = offer.report();
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/HolderAccount.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/HolderAccount.java
@@ -86,6 +86,11 @@
         discountNext = true;
     }
 
+    /** All that the holder has counted until now is known, so what it adds is new. */
+    void countOn() {
+        discountNext = false;
+    }
+
     /** Notes an allowance that is being sent. */
     void issue(long sequence, int allowed, Duration lifetime, Instant now) {
         if (allowed > 0) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamAccount.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamAccount.java
@@ -145,7 +145,12 @@
         if (report.isPresent()) {
             successes += account.newSuccesses(demand.get(), report.get().startedAt(), historyCounts);
         }
-        return demand.get().failed() && turnCold(contract);
+        if (!demand.get().failed()) {
+            return false;
+        }
+        boolean wasWarm = turnCold(contract);
+        account.countOn();
+        return wasWarm;
     }
 
     /** Whether the upstream has yet to show that it bears more than its cold limit. */
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
@@ -0,0 +1,182 @@
+package org.wagtaillug.grant;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.wagtaillug.health.LoadReport;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RegionId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Timing;
+import org.wagtaillug.membership.Vm;
+import org.wagtaillug.message.PeerMessage.GrantAsk;
+import org.wagtaillug.message.PeerMessage.GrantDemand;
+import org.wagtaillug.message.PeerMessage.GrantOffer;
+import org.wagtaillug.message.PeerMessage.GrantReply;
+import org.wagtaillug.node.Effect;
+import org.wagtaillug.node.Effects;
+
+class GrantOwnerTest {
+    private static final Instant START = Instant.ofEpochSecond(1_000);
+    private static final PoolId POOL = new PoolId("rerank");
+    private static final VmId ID = new VmId("rerank-1");
+    private static final NodeId HOLDER = new NodeId(new VmId("node-2"), 1);
+
+    private final FakeConfiguration configuration = new FakeConfiguration(2, 4, 8);
+    private final FakeOwnership ownership = new FakeOwnership(new NodeId(new VmId("node-1"), 1));
+    private final GrantOwner owner = new GrantOwner(ownership, configuration);
+    private final Effects effects = new Effects();
+    private Instant now = START;
+    private long sequence;
+
+    @BeforeEach
+    void begin() {
+        ownership.owner = Optional.of(ownership.self());
+        ownership.members.add(HOLDER);
+        owner.onVmList(List.of(vm(false)), now);
+        owner.onTick(now, effects);
+        now = now.plus(GrantOwner.LONGEST_ATTEMPT);
+        report(1);
+        effects.drain();
+    }
+
+    private static Vm vm(boolean leaving) {
+        return new Vm(ID, Optional.of(POOL), new DomainId("a"), new RegionId("r"), "127.0.0.1", 1, leaving);
+    }
+
+    private void report(long startedAt) {
+        Instant start = Instant.ofEpochMilli(startedAt);
+        LoadReport report = new LoadReport(start, now, 0, 0, 8, Optional.empty(), 0, 0);
+        owner.onLoadReport(ID, report, now, effects);
+    }
+
+    private GrantOffer ask(int wanted, long succeeded, boolean failed) {
+        sequence++;
+        Optional<Instant> startedAt = Optional.of(Instant.ofEpochMilli(1));
+        GrantDemand demand = new GrantDemand(ID, wanted, 0, succeeded, failed, startedAt);
+        GrantAsk ask = new GrantAsk(sequence, Math.max(0, sequence - 1), List.of(demand));
+        return owner.answer(HOLDER, ask, now, effects).get().offers().get(0);
+    }
+
+    private List<GrantReply> unasked() {
+        List<GrantReply> found = new ArrayList<>();
+        for (Effect effect : effects.drain()) {
+            if (effect instanceof Effect.SendToPeer(VmId to, GrantReply reply) && to.equals(HOLDER.vm())) {
+                found.add(reply);
+            }
+        }
+        return found;
+    }
+
+    @Test
+    void raisesTheLimitByEvidence() {
+        assertThat(ask(9, 0, false).allowed()).isEqualTo(2);
+        assertThat(ask(9, 3, false).cold()).isTrue();
+        GrantOffer warm = ask(9, 4, false);
+        assertThat(warm.cold()).isFalse();
+        assertThat(warm.allowed()).isEqualTo(4);
+        assertThat(warm.lifetime()).isEqualTo(Timing.LONGEST_GRANT);
+        assertThat(ask(9, 7, false).allowed()).isEqualTo(4);
+        assertThat(ask(9, 8, false).allowed()).isEqualTo(8);
+        assertThat(ask(9, 999, false).allowed()).isEqualTo(8);
+    }
+
+    @Test
+    void grantsNothingWhileItMayNot() {
+        ownership.right = () -> false;
+        GrantOffer offer = ask(1, 0, false);
+        assertThat(offer.allowed()).isZero();
+        assertThat(offer.lifetime()).isEqualTo(Duration.ZERO);
+    }
+
+    @Test
+    void keepsAWarmUpstreamWarmAcrossAChangeOfOwner() {
+        GrantOwner next = new GrantOwner(ownership, configuration);
+        next.onVmList(List.of(vm(false)), now);
+        next.onTick(now, effects);
+        LoadReport report = new LoadReport(Instant.ofEpochMilli(1), now, 3, 0, 8, Optional.empty(), 0, 0);
+        next.onLoadReport(ID, report, now, effects);
+        GrantDemand demand = new GrantDemand(ID, 3, 3, 100, false, Optional.of(Instant.ofEpochMilli(1)));
+        GrantAsk ask = new GrantAsk(1, 0, List.of(demand));
+        GrantOffer offer = next.answer(HOLDER, ask, now, effects).get().offers().get(0);
+        assertThat(offer.cold()).isFalse();
+        assertThat(offer.allowed()).isEqualTo(3);
+    }
+
+    /**
+     * A warm engine restarts and falls over again at once: bundles that were given out before go on being used. The new
+     * start in its report has to take them back without waiting for an ask.
+     */
+    @Test
+    void withdrawsAtOnceWhenTheUpstreamRestarts() {
+        ask(9, 100, false);
+        effects.drain();
+        report(2);
+        assertThat(unasked()).singleElement().satisfies(reply -> {
+            assertThat(reply.sequence()).isZero();
+            assertThat(reply.offers().get(0).allowed()).isZero();
+        });
+        assertThat(ask(9, 101, false).cold()).isTrue();
+    }
+
+    @Test
+    void turnsColdOnAFailureAndOnMissingReports() {
+        ask(9, 100, false);
+        assertThat(ask(9, 0, true).cold()).isTrue();
+        assertThat(ask(9, 4, false).cold()).isFalse();
+        owner.onLoadMissing(ID, now, effects);
+        owner.onLoadMissing(ID, now, effects);
+        assertThat(ask(9, 4, false).cold()).isFalse();
+        owner.onLoadMissing(ID, now, effects);
+        assertThat(ask(9, 4, false).cold()).isTrue();
+    }
+
+    /** Operators take a server out, or the platform says that it is leaving, and callers' work still lands on it. */
+    @Test
+    void withdrawsFromAnUpstreamThatLeavesOrIsTakenOut() {
+        ask(1, 0, false);
+        configuration.out.add(ID);
+        owner.onTick(now, effects);
+        assertThat(unasked()).hasSize(1);
+        assertThat(ask(1, 0, false).allowed()).isZero();
+        configuration.out.clear();
+        now = now.plus(GrantOwner.ACTIVE);
+        assertThat(ask(1, 0, false).allowed()).isEqualTo(1);
+        effects.drain();
+        owner.onVmList(List.of(vm(true)), now);
+        owner.onTick(now, effects);
+        assertThat(unasked()).hasSize(1);
+        assertThat(ask(1, 0, false).allowed()).isZero();
+    }
+
+    /** With a hundred servers in a pool and as many nodes, asks of everybody for everything would fill the network. */
+    @Test
+    void asksForAtMostSixteenUpstreamsOfAPool() {
+        List<Vm> vms = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            VmId id = new VmId("rerank-" + i);
+            vms.add(new Vm(id, Optional.of(POOL), new DomainId("a"), new RegionId("r"), "127.0.0.1", 1, false));
+        }
+        FakeOwnership view = new FakeOwnership(HOLDER);
+        view.owner = Optional.of(ownership.self());
+        GrantHolder holder = new GrantHolder(view, configuration, new GrantOwner(view, configuration));
+        holder.onVmList(vms, now);
+        holder.onTick(now, effects);
+        assertThat(effects.drain()).isEmpty();
+        holder.want(POOL, 100);
+        holder.onTick(now, effects);
+        assertThat(effects.drain()).singleElement().satisfies(effect -> {
+            Effect.SendToPeer message = (Effect.SendToPeer) effect;
+            GrantAsk ask = (GrantAsk) message.message();
+            assertThat(ask.demands()).hasSize(GrantHolder.POOL_FAN_OUT).allMatch(each -> each.wanted() == 7);
+        });
+    }
+}
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantWorld.java
@@ -32,7 +32,7 @@
     final FakeConfiguration configuration;
     final List<Member> members = new ArrayList<>();
     final Upstream upstream = new Upstream();
-    final boolean faults;
+    boolean faults;
     /** What went wrong first. */
     String violation = "";
     /** Starts above the cold limit after a restart of a warm upstream, by holders that had not heard of it. */
@@ -408,7 +408,7 @@
             process++;
             for (Attempt each : inFlight) {
                 after(1 + random.nextInt(5), () -> each.member()
-                        .act(() -> each.member().end(each, Finish.FAILED)));
+                        .act(() -> each.member().end(each, Finish.OVERLOADED)));
             }
             inFlight.clear();
             successes = 0;
