--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
@@ -98,6 +98,7 @@
             noteRight(vm, account, now);
             account.expire(members, now);
             if (!open(vm)) {
+                account.takeOut(contract(account));
                 withdraw(vm.id(), account, "leaving or out of service", now, effects);
             }
             if (account.askLoad(now)) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
@@ -18,6 +18,8 @@
     private static final Duration LATEST_WARM = Duration.ofSeconds(3);
     private static final Duration UNSERVED_REMEMBERED = Duration.ofSeconds(2);
 
+    private static final Duration EVIDENCE_REMEMBERED = Duration.ofSeconds(30);
+
     private Vm vm;
     private Optional<NodeId> grantor = Optional.empty();
     private int allowed;
@@ -35,6 +37,7 @@
     private final List<Instant> lingering = new ArrayList<>();
     private final Set<NodeId> countedBy = new TreeSet<>();
     private long succeeded;
+    private Instant evidenceAt = Instant.EPOCH;
 
     HeldUpstream(Vm vm) {
         this.vm = vm;
@@ -102,7 +105,10 @@
         boolean ofThisStart = startedBeforeNews == 0;
         startedBeforeNews = Math.max(0, startedBeforeNews - 1);
         switch (finish) {
-            case SUCCEEDED -> succeeded += ofThisStart ? 1 : 0;
+            case SUCCEEDED -> {
+                succeeded += ofThisStart ? 1 : 0;
+                evidenceAt = now;
+            }
             case FAILED -> {
                 lingering.add(now.plus(GrantOwner.LONGEST_ATTEMPT));
                 bar(now);
@@ -128,7 +134,16 @@
         knownWarm = Instant.MIN;
     }
 
+    /**
+     * What to say of this upstream to an owner.
+     *
+     * <p>A new owner takes the successes of its holders as evidence that the upstream is warm. Old ones are none: it may
+     * have turned cold since, with the same process, and only those that used it then have heard of it.
+     */
     GrantDemand demand(int wanted, Instant now) {
+        if (now.isAfter(evidenceAt.plus(EVIDENCE_REMEMBERED))) {
+            succeeded = 0;
+        }
         return new GrantDemand(vm.id(), wanted, inUse(now), succeeded, failed, report.map(LoadReport::startedAt));
     }
 
@@ -148,6 +163,7 @@
             return allowed < before;
         }
         unservedNoted = Instant.MIN;
+        evidenceAt = now;
         if (offer.cold() && !cold) {
             turnCold();
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamAccount.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamAccount.java
@@ -117,6 +117,11 @@
         return wasWarm;
     }
 
+    /** Out of service: it begins anew with the cold limit when it comes back, so that not all return to it at once. */
+    void takeOut(PoolContract contract) {
+        turnCold(contract);
+    }
+
     /** The same process, or so it seems, has turned cold: what holders have counted so far is no evidence any more. */
     private boolean turnCold(PoolContract contract) {
         boolean wasWarm = !cold(contract);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
@@ -157,6 +157,32 @@
         assertThat(ask(1, 0, false).allowed()).isZero();
     }
 
+    /** A failure domain comes back and falls over under the load that it bore when it left. */
+    @Test
+    void beginsColdWhenItComesBackIntoService() {
+        assertThat(ask(9, 100, false).cold()).isFalse();
+        configuration.out.add(ID);
+        owner.onTick(now, effects);
+        configuration.out.clear();
+        owner.onTick(now, effects);
+        assertThat(ask(9, 101, false).cold()).isTrue();
+        assertThat(ask(9, 105, false).cold()).isFalse();
+    }
+
+    /**
+     * An engine's cache went cold without a restart while only one node used it. Its next owner hears from a node that
+     * used it long before, warm then, and lets all in at once.
+     */
+    @Test
+    void aHoldersOldSuccessesAreNoEvidence() {
+        HeldUpstream held = new HeldUpstream(vm(false));
+        held.apply(new GrantOffer(ID, 4, Timing.LONGEST_GRANT, false, Optional.empty()), HOLDER, now, now);
+        held.started();
+        held.finished(Finish.SUCCEEDED, now);
+        assertThat(held.demand(1, now.plusSeconds(30)).succeeded()).isEqualTo(1);
+        assertThat(held.demand(1, now.plusSeconds(31)).succeeded()).isZero();
+    }
+
     /** With a hundred servers in a pool and as many nodes, asks of everybody for everything would fill the network. */
     @Test
     void asksForAtMostSixteenUpstreamsOfAPool() {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantWorld.java
@@ -26,12 +26,13 @@
     static final PoolId POOL = new PoolId("generate");
     static final VmId UPSTREAM = new VmId("engine-1");
     private static final Instant EPOCH = Instant.ofEpochSecond(1_000_000);
+    private static final int[] LATEST = {300, 1000, 12_000};
     private static final int LONGEST_WORK = 9_500;
 
     final Random random;
     final FakeConfiguration configuration;
     final List<Member> members = new ArrayList<>();
-    final Upstream upstream = new Upstream();
+    final Upstream upstream;
     boolean faults;
     private int silentOneIn = 20;
     /** What went wrong first. */
@@ -57,6 +58,7 @@
 
     GrantWorld(long seed, FakeConfiguration configuration, int nodes, boolean faults) {
         this.random = new Random(seed);
+        this.upstream = new Upstream();
         this.configuration = configuration;
         this.faults = faults;
         for (int i = 0; i < nodes; i++) {
@@ -233,10 +235,11 @@
             while (running < wanted && holder.start(UPSTREAM, clock())) {
                 running++;
                 GrantView state = holder.view(UPSTREAM, clock()).get();
-                boolean unheard = !state.cold()
-                        && !holder.report(UPSTREAM).get().startedAt().equals(upstream.startedAt());
+                Optional<Instant> believedWarm = state.cold()
+                        ? Optional.empty()
+                        : holder.report(UPSTREAM).map(LoadReport::startedAt);
                 Instant startBefore = holder.startBefore(UPSTREAM, clock());
-                Attempt attempt = new Attempt(this, holder, unheard || state.fixedShare(), state.fixedShare());
+                Attempt attempt = new Attempt(this, holder, believedWarm, state.fixedShare());
                 after(random.nextInt(10), () -> send(attempt, startBefore));
             }
         }
@@ -332,7 +335,7 @@
         int copies = faults && random.nextInt(100) < 5 ? 2 : 1;
         for (int i = 0; i < copies; i++) {
             boolean late = faults && random.nextInt(100) < 5;
-            long delay = 1 + random.nextInt(late ? 12_000 : 5);
+            long delay = 1 + random.nextInt(late ? LATEST[random.nextInt(LATEST.length)] : 5);
             after(delay, () -> {
                 for (Member member : members) {
                     if (member.id.vm().equals(message.receiver())) {
@@ -343,8 +346,12 @@
         }
     }
 
-    /** One try on its way, and whether its start is excused by a restart that its holder had not heard of. */
-    record Attempt(Member member, GrantHolder holder, boolean excused, boolean fixedShare) {}
+    /**
+     * One try on its way.
+     *
+     * @param believedWarm the start of the upstream that its holder held to be warm; empty if it held it to be cold
+     */
+    record Attempt(Member member, GrantHolder holder, Optional<Instant> believedWarm, boolean fixedShare) {}
 
     /** Counts the requests that run; warm after enough successes of one process. */
     final class Upstream {
@@ -352,6 +359,7 @@
         private long startedAtMillis;
         private long downUntil;
         private int successes;
+        private final int lag = 1 + random.nextInt(28);
         private int most;
         private final List<Attempt> inFlight = new ArrayList<>();
         private final Deque<LoadReport> remembered = new ArrayDeque<>();
@@ -400,7 +408,12 @@
             if (counted <= contract().coldLimit()) {
                 return;
             }
-            if (newest.excused()) {
+            // Sent on the strength of a start that is over: the holder cannot know yet. What the owner has granted
+            // since
+            // has to leave room for it.
+            boolean unheard = newest.believedWarm().isPresent()
+                    && !newest.believedWarm().get().equals(startedAt());
+            if (unheard) {
                 unheardRestart++;
                 return;
             }
@@ -431,12 +444,12 @@
             inFlight.clear();
             successes = 0;
             startedAtMillis = now;
-            downUntil = now + random.nextInt(1500);
+            downUntil = now + random.nextInt(3) * random.nextInt(1500);
         }
 
         private void remember() {
             remembered.addLast(report());
-            if (remembered.size() > 10) {
+            if (remembered.size() > lag) {
                 remembered.removeFirst();
             }
         }
