--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
@@ -111,6 +111,27 @@
         assertThat(offer.allowed()).isEqualTo(3);
     }
 
+    /**
+     * An owner dies and the next one fills a cold engine that still works on what a dead or unheard node sent it. Only a
+     * report of idleness that describes a moment after the old grants may shorten the wait, and reports lag.
+     */
+    @Test
+    void aNewOwnerWaitsForWhatMayStillRun() {
+        ownership.fencingNumber = 2;
+        report(1);
+        assertThat(ask(1, 0, false).allowed()).isZero();
+        now = now.plusMillis(2_999);
+        report(1);
+        assertThat(ask(1, 0, false).allowed()).isZero();
+        now = now.plusMillis(1);
+        report(1);
+        assertThat(ask(1, 0, false).allowed()).isEqualTo(1);
+        ownership.fencingNumber = 3;
+        assertThat(ask(1, 0, false).allowed()).isZero();
+        now = now.plus(GrantOwner.LONGEST_ATTEMPT);
+        assertThat(ask(1, 0, false).allowed()).isEqualTo(1);
+    }
+
     /**
      * A warm engine restarts and falls over again at once: bundles that were given out before go on being used. The new
      * start in its report has to take them back without waiting for an ask.
