--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
@@ -98,7 +98,7 @@
             noteRight(vm, account, now);
             account.expire(members, now);
             if (!open(vm)) {
-                account.takeOut(contract(account));
+                account.turnCold();
                 withdraw(vm.id(), account, "leaving or out of service", now, effects);
             }
             if (account.askLoad(now)) {
@@ -139,7 +139,7 @@
         if (account == null) {
             return;
         }
-        if (account.onMissing(contract(account))) {
+        if (account.onMissing(contract(account), now)) {
             withdraw(upstream, account, "load reports missing", now, effects);
         }
     }
@@ -197,10 +197,10 @@
         UpstreamAccount account = accounts.get(vm.id());
         PoolContract contract = contract(account);
         if (!member || !open(vm)) {
-            return account.nothing(demand, Timing.LONGEST_GRANT, contract);
+            return account.nothing(demand, Timing.LONGEST_GRANT, contract, now);
         }
         if (!noteRight(vm, account, now)) {
-            return account.nothing(demand, Duration.ZERO, contract);
+            return account.nothing(demand, Duration.ZERO, contract, now);
         }
         return account.offer(demand, holder, sequence, contract, now);
     }
@@ -220,8 +220,8 @@
         if (holders.isEmpty()) {
             return;
         }
-        GrantOffer nothing =
-                new GrantOffer(upstream, 0, Timing.LONGEST_GRANT, account.cold(contract(account)), account.report());
+        GrantOffer nothing = new GrantOffer(
+                upstream, 0, Timing.LONGEST_GRANT, account.cold(contract(account), now), account.report());
         GrantReply reply = new GrantReply(0, List.of(nothing));
         Decision.Builder decision =
                 Decision.builder("withdraw").field("upstream", upstream).field("reason", reason);
@@ -256,8 +256,8 @@
         return new GrantView(
                 seen.upstream(),
                 seen.owner(),
-                account.cold(contract),
-                account.limit(contract),
+                account.cold(contract, now),
+                account.limit(contract, now),
                 account.reserves(now),
                 seen.allowance(),
                 seen.fixedShare(),
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamAccount.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamAccount.java
@@ -19,6 +19,7 @@
 /** All that an owner knows of one upstream: its limit, and what every holder may have in flight there. */
 final class UpstreamAccount {
     private static final int MISSING_REPORTS = 3;
+    private static final Duration REPORT_FRESH = Duration.ofMillis(1500);
     private static final Duration LONGEST_REPORT_LAG = Duration.ofSeconds(3);
 
     private final PoolId pool;
@@ -31,7 +32,8 @@
     private Optional<Instant> firstReportSinceGain = Optional.empty();
     private long successes;
     private boolean historyCounts = true;
-    private Instant nextLoadAsk = Instant.MIN;
+    private Instant lastLoadAsk = Instant.MIN;
+    private Instant freshAt = Instant.MIN;
 
     UpstreamAccount(PoolId pool) {
         this.pool = pool;
@@ -43,10 +45,10 @@
 
     /** Whether it is time to ask for a load report; notes that one is asked for if so. */
     boolean askLoad(Instant now) {
-        if (now.isBefore(nextLoadAsk)) {
+        if (now.isBefore(lastLoadAsk.plus(GrantOwner.LOAD_PERIOD))) {
             return false;
         }
-        nextLoadAsk = now.plus(GrantOwner.LOAD_PERIOD);
+        lastLoadAsk = now;
         return true;
     }
 
@@ -68,7 +70,7 @@
         firstReportSinceGain = Optional.empty();
     }
 
-    /** Takes in a load report; gives whether the upstream turned from warm to cold by it. */
+    /** Takes in a load report; gives whether allowances have to be withdrawn because the upstream has started anew. */
     boolean onReport(LoadReport newest, PoolContract contract, Instant now) {
         missing = 0;
         boolean restarted = report.isPresent() && !report.get().startedAt().equals(newest.startedAt());
@@ -78,8 +80,24 @@
             return false;
         }
         report = Optional.of(newest);
+        freshAt = lastLoadAsk;
         noteIdle(newest, restarted, now);
-        return restarted && restart(contract);
+        if (!restarted) {
+            return false;
+        }
+        // A new process: whatever holders count since its start is evidence.
+        successes = 0;
+        historyCounts = true;
+        return moreThanCold(contract, now);
+    }
+
+    /** Whether holders may have more in flight than the upstream bears while it is cold. */
+    private boolean moreThanCold(PoolContract contract, Instant now) {
+        int reserved = 0;
+        for (HolderAccount each : holders.values()) {
+            reserved += each.reserve(now);
+        }
+        return reserved > contract.coldLimit();
     }
 
     /** A report of no work ends the wait of a new owner once it describes a moment after that owner's beginning. */
@@ -98,45 +116,32 @@
         }
     }
 
-    /** Takes in that a report did not come; gives whether the upstream turned from warm to cold by it. */
-    boolean onMissing(PoolContract contract) {
-        boolean wasWarm = !cold(contract);
+    /** Takes in that a report did not come; gives whether allowances have to be withdrawn. */
+    boolean onMissing(PoolContract contract, Instant now) {
         missing++;
         if (missing < MISSING_REPORTS) {
             return false;
         }
-        turnCold(contract);
-        return wasWarm;
-    }
-
-    /** A new process: whatever holders count since its start is evidence. */
-    private boolean restart(PoolContract contract) {
-        boolean wasWarm = !cold(contract);
-        successes = 0;
-        historyCounts = true;
-        return wasWarm;
-    }
-
-    /** Out of service: it begins anew with the cold limit when it comes back, so that not all return to it at once. */
-    void takeOut(PoolContract contract) {
-        turnCold(contract);
+        turnCold();
+        return moreThanCold(contract, now);
     }
 
-    /** The same process, or so it seems, has turned cold: what holders have counted so far is no evidence any more. */
-    private boolean turnCold(PoolContract contract) {
-        boolean wasWarm = !cold(contract);
+    /**
+     * The same process, or so it seems, has turned cold, or is out of service and comes back with the cold limit, so that
+     * not all return to it at once: what holders have counted so far is no evidence any more.
+     */
+    void turnCold() {
         successes = 0;
         historyCounts = false;
         for (HolderAccount each : holders.values()) {
             each.discountHistory();
         }
-        return wasWarm;
     }
 
     /**
      * Takes in what a holder says of this upstream, or that it has nothing to say of it.
      *
-     * @return whether the upstream turned from warm to cold by it
+     * @return whether allowances have to be withdrawn because it failed
      */
     boolean onAsk(NodeId holder, long applied, Optional<GrantDemand> demand, PoolContract contract, Instant now) {
         if (demand.isEmpty() && !holders.containsKey(holder)) {
@@ -153,20 +158,27 @@
         if (!demand.get().failed()) {
             return false;
         }
-        boolean wasWarm = turnCold(contract);
+        turnCold();
         account.countOn();
-        return wasWarm;
+        return moreThanCold(contract, now);
     }
 
-    /** Whether the upstream has yet to show that it bears more than its cold limit. */
-    boolean cold(PoolContract contract) {
-        return successes < contract.warmAfter() || report.isEmpty() || missing >= MISSING_REPORTS;
+    /**
+     * Whether the upstream has yet to show that it bears more than its cold limit.
+     *
+     * <p>An owner that pauses misses a restart, and on waking finds asks with enough successes from before it. So what it
+     * knows counts for a short time only, from the sending of the question that the last report answered: the answer
+     * itself may have waited for the owner to wake.
+     */
+    boolean cold(PoolContract contract, Instant now) {
+        boolean stale = now.isAfter(freshAt.plus(REPORT_FRESH));
+        return successes < contract.warmAfter() || stale || missing >= MISSING_REPORTS;
     }
 
     /** The most that may be in flight: doubles after the warming, and again after as many successes as it then is. */
-    int limit(PoolContract contract) {
+    int limit(PoolContract contract, Instant now) {
         int limit = contract.coldLimit();
-        if (cold(contract)) {
+        if (cold(contract, now)) {
             return limit;
         }
         int most = Math.max(contract.coldLimit(), contract.warmLimit());
@@ -181,27 +193,27 @@
     /** Answers a holder's ask for this upstream. The sum of reserves rises to the limit at most. */
     GrantOffer offer(GrantDemand demand, NodeId holder, long sequence, PoolContract contract, Instant now) {
         HolderAccount account = holders.get(holder);
-        int limit = limit(contract);
+        int limit = limit(contract, now);
         int free = Math.max(0, limit - reservedByOthers(holder, contract, now));
         List<HolderAccount> active = active(now);
-        boolean turns = cold(contract) || limit < active.size();
+        boolean turns = cold(contract, now) || limit < active.size();
         int allowed = turns ? turn(account, active, free, now) : bundle(account, active, limit, free);
         Duration lifetime = Timing.LONGEST_GRANT;
         if (turns && allowed > 0) {
             lifetime = Duration.between(now, account.turnEnds());
         }
         account.issue(sequence, allowed, lifetime, now);
-        return new GrantOffer(demand.upstream(), allowed, lifetime, cold(contract), report);
+        return new GrantOffer(demand.upstream(), allowed, lifetime, cold(contract, now), report);
     }
 
     /** An offer of nothing. */
-    GrantOffer nothing(GrantDemand demand, Duration lifetime, PoolContract contract) {
-        return new GrantOffer(demand.upstream(), 0, lifetime, cold(contract), report);
+    GrantOffer nothing(GrantDemand demand, Duration lifetime, PoolContract contract, Instant now) {
+        return new GrantOffer(demand.upstream(), 0, lifetime, cold(contract, now), report);
     }
 
     private int reservedByOthers(NodeId holder, PoolContract contract, Instant now) {
         int reserved = 0;
-        if (cold(contract) && now.isBefore(unknownUntil)) {
+        if (cold(contract, now) && now.isBefore(unknownUntil)) {
             reserved = contract.coldLimit();
         }
         for (Map.Entry<NodeId, HolderAccount> each : holders.entrySet()) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
@@ -44,6 +44,7 @@
         owner.onVmList(List.of(vm(false)), now);
         owner.onTick(now, effects);
         now = now.plus(GrantOwner.LONGEST_ATTEMPT);
+        owner.onTick(now, effects);
         report(1);
         effects.drain();
     }
@@ -132,6 +133,41 @@
         assertThat(ask(1, 0, false).allowed()).isEqualTo(1);
     }
 
+    /**
+     * An owner sleeps through a restart. On waking it finds asks full of successes from before, and hands out bundles at
+     * an engine that has just started. The answer to its last question has waited for it too and is as old.
+     */
+    @Test
+    void anOwnerThatWasPausedKnowsNothing() {
+        assertThat(ask(9, 100, false).cold()).isFalse();
+        now = now.plusMillis(1_501);
+        report(1);
+        assertThat(ask(9, 200, false).cold()).isTrue();
+        owner.onTick(now, effects);
+        report(1);
+        assertThat(ask(9, 200, false).cold()).isFalse();
+    }
+
+    /** A place is given out twice: an ask that was long under way says that nothing runs, but by now something does. */
+    @Test
+    void aReportOfNothingInUseFreesNoUnacknowledgedAllowance() {
+        assertThat(ask(2, 0, false).allowed()).isEqualTo(2);
+        assertThat(askOfAnother(1)).isZero();
+        now = now.plus(GrantOwner.COLD_GRANT);
+        assertThat(ask(2, 0, false).allowed()).isZero();
+        assertThat(askOfAnother(2)).isZero();
+        assertThat(ask(2, 0, false).allowed()).isZero();
+        assertThat(askOfAnother(3)).isEqualTo(1);
+    }
+
+    private int askOfAnother(long number) {
+        NodeId other = new NodeId(new VmId("node-3"), 1);
+        ownership.members.add(other);
+        GrantDemand demand = new GrantDemand(ID, 1, 0, 0, false, Optional.empty());
+        GrantAsk ask = new GrantAsk(number, number - 1, List.of(demand));
+        return owner.answer(other, ask, now, effects).get().offers().get(0).allowed();
+    }
+
     /**
      * A warm engine restarts and falls over again at once: bundles that were given out before go on being used. The new
      * start in its report has to take them back without waiting for an ask.
