--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/HolderAccount.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/HolderAccount.java
@@ -148,9 +148,9 @@
         return turnEnds;
     }
 
-    /** Begins a turn; whoever waits now comes before this holder's next one. */
+    /** Begins a turn; whoever begins to wait before its end comes before this holder's next one. */
     void beginTurn(Instant now) {
-        waitingSince = now;
         turnEnds = now.plus(GrantOwner.COLD_GRANT);
+        waitingSince = turnEnds;
     }
 }
