--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
@@ -98,6 +98,7 @@
             noteRight(vm, account, now);
             account.expire(members, now);
             if (!open(vm)) {
+                account.turnCold();
                 withdraw(vm.id(), account, "leaving or out of service", now, effects);
             }
             if (account.askLoad(now)) {
@@ -138,7 +139,7 @@
         if (account == null) {
             return;
         }
-        if (account.onMissing(contract(account))) {
+        if (account.onMissing(contract(account), now)) {
             withdraw(upstream, account, "load reports missing", now, effects);
         }
     }
@@ -196,10 +197,10 @@
         UpstreamAccount account = accounts.get(vm.id());
         PoolContract contract = contract(account);
         if (!member || !open(vm)) {
-            return account.nothing(demand, Timing.LONGEST_GRANT, contract);
+            return account.nothing(demand, Timing.LONGEST_GRANT, contract, now);
         }
         if (!noteRight(vm, account, now)) {
-            return account.nothing(demand, Duration.ZERO, contract);
+            return account.nothing(demand, Duration.ZERO, contract, now);
         }
         return account.offer(demand, holder, sequence, contract, now);
     }
@@ -219,8 +220,8 @@
         if (holders.isEmpty()) {
             return;
         }
-        GrantOffer nothing =
-                new GrantOffer(upstream, 0, Timing.LONGEST_GRANT, account.cold(contract(account)), account.report());
+        GrantOffer nothing = new GrantOffer(
+                upstream, 0, Timing.LONGEST_GRANT, account.cold(contract(account), now), account.report());
         GrantReply reply = new GrantReply(0, List.of(nothing));
         Decision.Builder decision =
                 Decision.builder("withdraw").field("upstream", upstream).field("reason", reason);
@@ -245,21 +246,22 @@
         return taken;
     }
 
-    /** How an owned upstream stands; the allowance and use are this node's as its holder sees them. */
-    Optional<GrantView> view(VmId upstream, int allowance, int inUse, Instant now) {
-        UpstreamAccount account = accounts.get(upstream);
+    /** Adds to a holder's view of an upstream what only its owner knows. */
+    GrantView complete(GrantView seen, Instant now) {
+        UpstreamAccount account = accounts.get(seen.upstream());
         if (account == null) {
-            return Optional.empty();
+            return seen;
         }
         PoolContract contract = contract(account);
-        return Optional.of(new GrantView(
-                upstream,
-                Optional.of(ownership.self()),
-                account.cold(contract),
-                account.limit(contract),
+        return new GrantView(
+                seen.upstream(),
+                seen.owner(),
+                account.cold(contract, now),
+                account.limit(contract, now),
                 account.reserves(now),
-                allowance,
-                inUse));
+                seen.allowance(),
+                seen.fixedShare(),
+                seen.inUse());
     }
 
     private boolean owns(Vm vm) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.wagtaillug.health.LoadReport;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.membership.Vm;
@@ -16,6 +18,8 @@
     private static final Duration LATEST_WARM = Duration.ofSeconds(3);
     private static final Duration UNSERVED_REMEMBERED = Duration.ofSeconds(2);
 
+    private static final Duration EVIDENCE_REMEMBERED = Duration.ofSeconds(30);
+
     private Vm vm;
     private Optional<NodeId> grantor = Optional.empty();
     private int allowed;
@@ -29,9 +33,11 @@
     private Instant unservedSince = Instant.MIN;
     private Instant unservedNoted = Instant.MIN;
     private int inFlight;
-    private int startedBeforeRestart;
+    private int startedBeforeNews;
     private final List<Instant> lingering = new ArrayList<>();
+    private final Set<NodeId> countedBy = new TreeSet<>();
     private long succeeded;
+    private Instant evidenceAt = Instant.EPOCH;
 
     HeldUpstream(Vm vm) {
         this.vm = vm;
@@ -66,6 +72,22 @@
 
     void started() {
         inFlight++;
+        if (grantor.isPresent()) {
+            countedBy.add(grantor.get());
+        }
+    }
+
+    /**
+     * The owners that count what is in use here: all that granted since nothing was.
+     *
+     * <p>A node may learn of a new owner while the old one, which has not, still grants to others. Were the old one not
+     * told what is in use any more, it would take it for none and grant the same places once more.
+     */
+    Set<NodeId> countedBy(Instant now) {
+        if (inUse(now) == 0) {
+            countedBy.clear();
+        }
+        return countedBy;
     }
 
     /**
@@ -73,27 +95,28 @@
      *
      * <p>A request whose connection fell silent may go on running: the upstream has lost track of the connection, not of
      * the work. It would show as one more request at a cold upstream than was granted. So its place stays taken for as
-     * long as an attempt may run, or until the upstream is known to have started anew.
+     * long as an attempt may run. Word of a new start does not free it: the attempt may have begun after that start.
      */
     void finished(Finish finish, Instant now) {
         if (inFlight == 0) {
             return;
         }
         inFlight--;
-        if (startedBeforeRestart > 0) {
-            startedBeforeRestart--;
-            return;
-        }
+        boolean ofThisStart = startedBeforeNews == 0;
+        startedBeforeNews = Math.max(0, startedBeforeNews - 1);
         switch (finish) {
-            case SUCCEEDED -> succeeded++;
-            case CANCELLED -> {
-                return;
+            case SUCCEEDED -> {
+                succeeded += ofThisStart ? 1 : 0;
+                evidenceAt = now;
             }
             case FAILED -> {
                 lingering.add(now.plus(GrantOwner.LONGEST_ATTEMPT));
                 bar(now);
             }
             case OVERLOADED -> bar(now);
+            case CANCELLED -> {
+                // Says nothing of the upstream.
+            }
             default -> throw new IllegalStateException("unknown finish " + finish);
         }
     }
@@ -111,7 +134,16 @@
         knownWarm = Instant.MIN;
     }
 
+    /**
+     * What to say of this upstream to an owner.
+     *
+     * <p>A new owner takes the successes of its holders as evidence that the upstream is warm. Old ones are none: it may
+     * have turned cold since, with the same process, and only those that used it then have heard of it.
+     */
     GrantDemand demand(int wanted, Instant now) {
+        if (now.isAfter(evidenceAt.plus(EVIDENCE_REMEMBERED))) {
+            succeeded = 0;
+        }
         return new GrantDemand(vm.id(), wanted, inUse(now), succeeded, failed, report.map(LoadReport::startedAt));
     }
 
@@ -131,6 +163,7 @@
             return allowed < before;
         }
         unservedNoted = Instant.MIN;
+        evidenceAt = now;
         if (offer.cold() && !cold) {
             turnCold();
         }
@@ -171,8 +204,7 @@
         LoadReport newest = offer.report().get();
         if (report.isPresent() && !report.get().startedAt().equals(newest.startedAt())) {
             turnCold();
-            startedBeforeRestart = inFlight;
-            lingering.clear();
+            startedBeforeNews = inFlight;
         }
         report = offer.report();
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/HolderAccount.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/HolderAccount.java
@@ -86,6 +86,11 @@
         discountNext = true;
     }
 
+    /** All that the holder has counted until now is known, so what it adds is new. */
+    void countOn() {
+        discountNext = false;
+    }
+
     /** Notes an allowance that is being sent. */
     void issue(long sequence, int allowed, Duration lifetime, Instant now) {
         if (allowed > 0) {
@@ -143,9 +148,9 @@
         return turnEnds;
     }
 
-    /** Begins a turn; whoever waits now comes before this holder's next one. */
+    /** Begins a turn; whoever begins to wait before its end comes before this holder's next one. */
     void beginTurn(Instant now) {
-        waitingSince = now;
         turnEnds = now.plus(GrantOwner.COLD_GRANT);
+        waitingSince = turnEnds;
     }
 }
