--- a/wagtaillug-core/src/main/java/org/wagtaillug/claim/ClaimReader.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/claim/ClaimReader.java
@@ -20,6 +20,7 @@
     private final Duration retention;
     private final RetryDelay delay = new RetryDelay();
     private long next = 1;
+    private long askedFrom;
     private Optional<Instant> askedAt = Optional.empty();
     private Instant notBefore = Instant.MIN;
     private Optional<Instant> failingSince = Optional.empty();
@@ -45,13 +46,16 @@
         if (askedAt.isPresent() || now.isBefore(notBefore)) {
             return;
         }
+        askedFrom = next;
         askedAt = Optional.of(now);
         effects.add(new Effect.ReadLog(LogStream.CLAIMS, next));
     }
 
-    News answered(Instant sentAt, LogBatch batch, Instant now) {
-        // The answer to a read that was given up on may still come, beside the one that is awaited now.
-        if (askedAt.isPresent() && !sentAt.isBefore(askedAt.get())) {
+    News answered(LogBatch batch, Instant now) {
+        // The answer to a read that was given up on may still come. What it holds is new or known by its offsets, but
+        // if
+        // it is not the one that is awaited, that one has to be awaited further.
+        if (batch.from() == askedFrom) {
             askedAt = Optional.empty();
             delay.reset();
             failingSince = Optional.empty();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/claim/Claims.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/claim/Claims.java
@@ -84,9 +84,13 @@
         flush(now, effects);
     }
 
-    /** A read of the claims stream was answered. */
+    /**
+     * A read of the claims stream was answered.
+     *
+     * @param askedAt when the read was sent; nothing is decided by it, since a win rests on what was read, not on when
+     */
     public void onLogRead(Instant askedAt, LogBatch batch, Instant now, Effects effects) {
-        ClaimReader.News news = reader.answered(askedAt, batch, now);
+        ClaimReader.News news = reader.answered(batch, now);
         sweep(now);
         if (news.gap()) {
             startOver(now);
@@ -322,7 +326,9 @@
             refuse(ask, Refusals.tooOld(ask.key()), now);
             return;
         }
-        // A node that has not read all there is could win in its own eyes against a claim that it has yet to read.
+        // What is still unread may hold the key's outcome already, and a claim made now would be read back only after
+        // it:
+        // too late for most deadlines.
         if (!reader.caughtUp() || reader.down(now)) {
             refuse(ask, Refusals.logUnavailable(ask.key()), now);
             return;
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/Dialler.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/Dialler.java
@@ -46,7 +46,7 @@
         this.security = security;
         this.meter = meter;
         this.longestSilence = longestSilence;
-        this.eventLoop = (EventLoop) template.config().group().next();
+        this.eventLoop = template.config().group().next();
         this.bootstrap = template.clone(eventLoop).handler(new Initializer());
     }
 
