--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantHolderTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantHolderTest.java
@@ -78,6 +78,16 @@
         assertThat(holder.available(ID, START.plusMillis(230))).isZero();
     }
 
+    /** An owner that leaves an upstream out of a reply takes it for handed back once that reply is acknowledged. */
+    @Test
+    void givesUpWhatAReplyLeavesOut() {
+        reply(asked(OWNER, START), 1, Duration.ofSeconds(2), START);
+        assertThat(holder.available(ID, START)).isEqualTo(1);
+        GrantAsk next = asked(OWNER, START.plusMillis(500));
+        holder.onReply(OWNER, new GrantReply(next.sequence(), List.of()), START.plusMillis(510), effects);
+        assertThat(holder.available(ID, START.plusMillis(510))).isZero();
+    }
+
     /** A node that slept past its grant sends one request more than the engine bears, for the place has a new user. */
     @Test
     void startsNothingOnceTheGrantHasLapsed() {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantLivenessTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantLivenessTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.wagtaillug.grant.GrantWorld.UPSTREAM;
 
+import java.time.Instant;
 import org.junit.jupiter.api.Test;
 import org.wagtaillug.grant.GrantWorld.Member;
+import org.wagtaillug.node.Effects;
 
 class GrantLivenessTest {
     private static final int NEVER_WARM = 1_000_000;
@@ -93,6 +95,9 @@
         GrantView view = member.holder.view(UPSTREAM, member.clock()).get();
         assertThat(view.fixedShare()).isTrue();
         assertThat(view.allowance()).isEqualTo(2);
+        assertThat(member.holder.startBefore(UPSTREAM, member.clock())).isAfter(member.clock());
+        Instant afterPause = member.clock().plusMillis(600);
+        assertThat(member.holder.startBefore(UPSTREAM, afterPause)).isEqualTo(afterPause);
         member.holder.finished(UPSTREAM, Finish.OVERLOADED, member.clock());
         assertThat(member.holder.available(UPSTREAM, member.clock())).isZero();
     }
@@ -124,7 +129,10 @@
         world.runUntil(20_000);
         Member member = world.members.get(1);
         assertThat(member.holder.cold(UPSTREAM)).isFalse();
-        assertThat(member.holder.available(UPSTREAM, member.clock().plusSeconds(20)))
-                .isZero();
+        Effects unsent = new Effects();
+        member.holder.onTick(member.clock().plusMillis(500), unsent);
+        Instant woken = member.clock().plusSeconds(20);
+        member.holder.onTick(woken, unsent);
+        assertThat(member.holder.view(UPSTREAM, woken).get().allowance()).isZero();
     }
 }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
@@ -196,6 +196,17 @@
         assertThat(ask(9, 4, false).cold()).isTrue();
     }
 
+    /** An engine failed for one node; what another counted before that, and reports after it, must not warm it again. */
+    @Test
+    void successesFromBeforeAFailureAreNoEvidence() {
+        ask(9, 3, false);
+        GrantDemand failed = new GrantDemand(ID, 1, 0, 0, true, Optional.of(Instant.ofEpochMilli(1)));
+        owner.answer(new NodeId(new VmId("node-3"), 1), new GrantAsk(1, 0, List.of(failed)), now, effects);
+        assertThat(ask(9, 50, false).cold()).isTrue();
+        assertThat(ask(9, 53, false).cold()).isTrue();
+        assertThat(ask(9, 54, false).cold()).isFalse();
+    }
+
     /** Operators take a server out, or the platform says that it is leaving, and callers' work still lands on it. */
     @Test
     void withdrawsFromAnUpstreamThatLeavesOrIsTakenOut() {
