--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
@@ -251,6 +251,25 @@
         assertThat(held.demand(1, now.plusSeconds(31)).succeeded()).isZero();
     }
 
+    /** An answer of the process before is read after the news of a restart, and counts as a success of the new one. */
+    @Test
+    void anAnswerOfTheProcessBeforeIsNoEvidence() {
+        HeldUpstream held = new HeldUpstream(vm(false));
+        held.apply(new GrantOffer(ID, 2, Timing.LONGEST_GRANT, true, startedAt(1)), HOLDER, now, now);
+        held.started();
+        held.apply(new GrantOffer(ID, 2, Timing.LONGEST_GRANT, true, startedAt(2)), HOLDER, now, now);
+        held.finished(Finish.SUCCEEDED, now);
+        assertThat(held.demand(1, now).succeeded()).isZero();
+        held.started();
+        held.finished(Finish.SUCCEEDED, now);
+        assertThat(held.demand(1, now).succeeded()).isEqualTo(1);
+    }
+
+    private Optional<LoadReport> startedAt(long millis) {
+        Instant start = Instant.ofEpochMilli(millis);
+        return Optional.of(new LoadReport(start, now, 0, 0, 8, Optional.empty(), 0, 0));
+    }
+
     /** With a hundred servers in a pool and as many nodes, asks of everybody for everything would fill the network. */
     @Test
     void asksForAtMostSixteenUpstreamsOfAPool() {
