--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
@@ -196,6 +196,17 @@
         assertThat(ask(9, 4, false).cold()).isTrue();
     }
 
+    /** An engine failed for one node; what another counted before that, and reports after it, must not warm it again. */
+    @Test
+    void successesFromBeforeAFailureAreNoEvidence() {
+        ask(9, 3, false);
+        GrantDemand failed = new GrantDemand(ID, 1, 0, 0, true, Optional.of(Instant.ofEpochMilli(1)));
+        owner.answer(new NodeId(new VmId("node-3"), 1), new GrantAsk(1, 0, List.of(failed)), now, effects);
+        assertThat(ask(9, 50, false).cold()).isTrue();
+        assertThat(ask(9, 53, false).cold()).isTrue();
+        assertThat(ask(9, 54, false).cold()).isFalse();
+    }
+
     /** Operators take a server out, or the platform says that it is leaving, and callers' work still lands on it. */
     @Test
     void withdrawsFromAnUpstreamThatLeavesOrIsTakenOut() {
@@ -240,6 +251,25 @@
         assertThat(held.demand(1, now.plusSeconds(31)).succeeded()).isZero();
     }
 
+    /** An answer of the process before is read after the news of a restart, and counts as a success of the new one. */
+    @Test
+    void anAnswerOfTheProcessBeforeIsNoEvidence() {
+        HeldUpstream held = new HeldUpstream(vm(false));
+        held.apply(new GrantOffer(ID, 2, Timing.LONGEST_GRANT, true, startedAt(1)), HOLDER, now, now);
+        held.started();
+        held.apply(new GrantOffer(ID, 2, Timing.LONGEST_GRANT, true, startedAt(2)), HOLDER, now, now);
+        held.finished(Finish.SUCCEEDED, now);
+        assertThat(held.demand(1, now).succeeded()).isZero();
+        held.started();
+        held.finished(Finish.SUCCEEDED, now);
+        assertThat(held.demand(1, now).succeeded()).isEqualTo(1);
+    }
+
+    private Optional<LoadReport> startedAt(long millis) {
+        Instant start = Instant.ofEpochMilli(millis);
+        return Optional.of(new LoadReport(start, now, 0, 0, 8, Optional.empty(), 0, 0));
+    }
+
     /** With a hundred servers in a pool and as many nodes, asks of everybody for everything would fill the network. */
     @Test
     void asksForAtMostSixteenUpstreamsOfAPool() {
