--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/PeerLinkTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/PeerLinkTest.java
@@ -32,6 +32,7 @@
 class PeerLinkTest {
     private static final NodeId LEFT = new NodeId(new VmId("entry-1"), 1);
     private static final NodeId RIGHT = new NodeId(new VmId("entry-2"), 1);
+    private static final int LONGEST_WAIT_MILLIS = 30_000;
     private static final String HOST = "127.0.0.1";
 
     private final Deque<AutoCloseable> opened = new ArrayDeque<>();
@@ -145,8 +146,7 @@
      */
     @Test
     void replacesAConnectionThatHasFallenSilent() throws Exception {
-        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName(HOST));
-        opened.push(listener);
+        ServerSocket listener = listen();
         PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0).longestSilence(Duration.ofMillis(200)));
         left.seeds(Map.of(RIGHT.vm(), address(listener.getLocalPort())));
         Socket first = listener.accept();
@@ -186,8 +186,7 @@
     /** A peer that reads nothing must not let the messages to it pile up without bound. */
     @Test
     void dropsWhenTheOutboundBufferIsFull() throws Exception {
-        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName(HOST));
-        opened.push(listener);
+        ServerSocket listener = listen();
         PeerLink left = open(PeerLink.builder(LEFT).bind(HOST, 0));
         left.seeds(Map.of(RIGHT.vm(), address(listener.getLocalPort())));
         LogRecord.StateEntry entry = new LogRecord.StateEntry("k", 1, new Body.Unknown("text", "x".repeat(500_000)));
@@ -250,6 +249,13 @@
         return link;
     }
 
+    private ServerSocket listen() throws IOException {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getByName(HOST));
+        listener.setSoTimeout(LONGEST_WAIT_MILLIS);
+        opened.push(listener);
+        return listener;
+    }
+
     private PeerLink openUnregistered(PeerLink.Builder builder) {
         NodeId[] self = new NodeId[1];
         PeerLink link = builder.handler((sender, message) -> {
@@ -263,7 +269,7 @@
     }
 
     private String next() throws InterruptedException {
-        return received.poll(30, TimeUnit.SECONDS);
+        return received.poll(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private static void sendAsSoonAsPossible(PeerLink link, VmId receiver, PeerMessage message) {
@@ -272,12 +278,16 @@
 
     private static void await(BooleanSupplier condition) {
         while (!condition.getAsBoolean()) {
+            assertThat(Thread.currentThread().isInterrupted())
+                    .as("waited in vain")
+                    .isFalse();
             Thread.onSpinWait();
         }
     }
 
     private static int answerTo(int port, int length, byte[] content) throws IOException {
         try (Socket socket = new Socket(HOST, port)) {
+            socket.setSoTimeout(LONGEST_WAIT_MILLIS);
             DataOutputStream output = new DataOutputStream(socket.getOutputStream());
             output.writeInt(length);
             output.write(content);
