A refusal of an old key does not say that it did not run

Cause: with the log down, or for a key older than what the log holds, a node answered 'not run' of its own request. The caller reads it of the key, and an earlier try at a node that died may have run. Ruled out: a recorded outcome or a running holder, which are told first. Change: 'unknown' for a key that is older than two seconds when it arrives, and for one older than the log; 'not run' only for a key that was just made.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/claim/Ask.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/claim/Ask.java
@@ -11,13 +11,15 @@
     private final RequestId request;
     private final IdempotencyKey key;
     private final String bodyDigest;
+    private final Instant askedAt;
     private final Instant deadline;
     private Optional<ClaimRecord.Claimed> claim = Optional.empty();
 
-    Ask(RequestId request, IdempotencyKey key, String bodyDigest, Instant deadline) {
+    Ask(RequestId request, IdempotencyKey key, String bodyDigest, Instant askedAt, Instant deadline) {
         this.request = request;
         this.key = key;
         this.bodyDigest = bodyDigest;
+        this.askedAt = askedAt;
         this.deadline = deadline;
     }
 
@@ -33,6 +35,10 @@
         return bodyDigest;
     }
 
+    Instant askedAt() {
+        return askedAt;
+    }
+
     boolean expired(Instant now) {
         return !now.isBefore(deadline);
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/claim/Claims.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/claim/Claims.java
@@ -166,7 +166,7 @@
             verdicts.add(new Verdict.Refused(request, Refusals.tooNew(key)));
             return;
         }
-        Ask ask = new Ask(request, key, bodyDigest, deadline);
+        Ask ask = new Ask(request, key, bodyDigest, now, deadline);
         asks.put(request, ask);
         asksByKey
                 .computeIfAbsent(key.identity(), ignored -> new LinkedHashSet<>())
@@ -330,7 +330,7 @@
         // it:
         // too late for most deadlines.
         if (!reader.caughtUp() || reader.down(now)) {
-            refuse(ask, Refusals.logUnavailable(ask.key()), now);
+            refuse(ask, Refusals.logUnavailable(ask.key(), ask.askedAt()), now);
             return;
         }
         lastClaim++;
@@ -356,7 +356,7 @@
         for (Ask ask : List.copyOf(asks.values())) {
             Optional<ClaimFold.Holder> running = running(ask);
             if (running.isEmpty() && (down || ask.expired(now))) {
-                refuse(ask, Refusals.logUnavailable(ask.key()), now);
+                refuse(ask, Refusals.logUnavailable(ask.key(), ask.askedAt()), now);
                 continue;
             }
             if (running.isPresent() && !present(running.get().claimer())) {
@@ -384,7 +384,10 @@
     private void startOver(Instant now) {
         for (Ask ask : List.copyOf(asks.values())) {
             boolean running = running(ask).isPresent();
-            refuse(ask, running ? Refusals.inProgress(ask.key()) : Refusals.logUnavailable(ask.key()), now);
+            refuse(
+                    ask,
+                    running ? Refusals.inProgress(ask.key()) : Refusals.logUnavailable(ask.key(), ask.askedAt()),
+                    now);
         }
         fold.clear();
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/claim/Refusals.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/claim/Refusals.java
@@ -1,30 +1,42 @@
 package org.wagtaillug.claim;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.wagtaillug.id.IdempotencyKey;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.result.Refusal;
 import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.result.RunState;
 
 /** The refusals of requests with an idempotency key, in words for the caller. */
 final class Refusals {
+    /** A request this soon after its key was made is taken for the first with that key. */
+    static final Duration FIRST_TRY = Duration.ofSeconds(2);
+
     private static final Duration SOON = Duration.ofSeconds(1);
     private static final Duration LATER = Duration.ofSeconds(5);
     private static final Duration NEVER = Duration.ZERO;
 
     private Refusals() {}
 
-    static Refusal logUnavailable(IdempotencyKey key) {
-        return Refusal.notRun(
+    /**
+     * The claim cannot be recorded. This request was not run; but where the log cannot be read, nobody here knows of an
+     * earlier try of the same key at another node. A key that is only just made has had none; of an older one it would be
+     * false to say that it did not run.
+     */
+    static Refusal logUnavailable(IdempotencyKey key, Instant askedAt) {
+        boolean firstTry = askedAt.isBefore(key.issuedAt().plus(FIRST_TRY));
+        return new Refusal(
                 ResultCode.LOG_UNAVAILABLE,
+                firstTry ? RunState.NOT_RUN : RunState.UNKNOWN,
                 SOON,
                 "the log service, which has to record key " + key.identity()
-                        + " first, is not reachable; this request was not run and will not be;"
-                        + " expected a retry with the same key");
+                        + " first, is not reachable; this request was not run and will not be,"
+                        + " an earlier one with the key may have been; expected a retry with the same key");
     }
 
     static Refusal tooOld(IdempotencyKey key) {
-        return Refusal.notRun(
+        return Refusal.unknown(
                 ResultCode.KEY_TOO_OLD,
                 NEVER,
                 "key " + key.identity() + " of " + key.issuedAt()
--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -17,6 +17,7 @@
 import org.wagtaillug.contract.Stage;
 import org.wagtaillug.contract.StageWork;
 import org.wagtaillug.grant.Finish;
+import org.wagtaillug.grant.GrantOwner;
 import org.wagtaillug.id.AttemptId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
@@ -41,6 +42,9 @@
  * sent to one upstream, after the claim of its key was won, and never again after a byte may have left.
  */
 public final class Dispatcher {
+    /** Owners count on it that no attempt outlives this; see {@link GrantOwner#LONGEST_ATTEMPT}. */
+    private static final Duration LONGEST_ATTEMPT = GrantOwner.LONGEST_ATTEMPT;
+
     private static final double HEDGE_QUANTILE = 0.95;
     private static final int UNSENT_ATTEMPTS = 3;
     private static final int MIDDLE_PRIORITY = 5;
@@ -218,6 +222,10 @@
         pump(live.attempt().stage().pool(), now, effects);
     }
 
+    /**
+     * What an end says of the upstream. Only an attempt that fell silent may still be running there; a refused, reset or
+     * useless one is over, and may mean that the upstream has just started.
+     */
     private static Finish finish(LiveAttempt live, AttemptEnd end) {
         if (live.stalled()) {
             return Finish.FAILED;
@@ -226,7 +234,7 @@
             case AttemptEnd.Completed ignored -> Finish.SUCCEEDED;
             case AttemptEnd.Overloaded ignored -> Finish.OVERLOADED;
             case AttemptEnd.Rejected ignored -> Finish.CANCELLED;
-            case AttemptEnd.Failed ignored -> live.cancelled() ? Finish.CANCELLED : Finish.FAILED;
+            case AttemptEnd.Failed ignored -> live.cancelled() ? Finish.CANCELLED : Finish.OVERLOADED;
             case AttemptEnd.NotStarted ignored -> Finish.CANCELLED;
         };
     }
@@ -427,7 +435,7 @@
 
     private void start(RequestFlow flow, Vm upstream, Choice choice, String kind, Instant now, Effects effects) {
         Stage stage = flow.stage();
-        Instant stageEnd = now.plus(stage.timeout());
+        Instant stageEnd = earlier(now.plus(stage.timeout()), now.plus(LONGEST_ATTEMPT));
         boolean untilDeadline = flow.idempotent() && flow.deadline().isBefore(stageEnd);
         Instant startBefore = earlier(upstreams.startBefore(upstream.id(), now), flow.deadline());
         Attempt attempt = new Attempt(
--- a/wagtaillug-core/src/test/java/org/wagtaillug/claim/ClaimsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/claim/ClaimsTest.java
@@ -167,6 +167,23 @@
         assertThat(session.appended).isEmpty();
     }
 
+    /**
+     * A guest books; the node dies in the middle, and then the log goes down. The guest asks another node with the same key.
+     * "Not run" would be false if the first node had booked, and this one cannot see it. Only of a key that was just made
+     * can it say so.
+     */
+    @Test
+    void anOlderKeyIsNotSaidNotToHaveRunWhileTheLogCannotBeRead() {
+        session.after(ClaimReader.READ_TIMEOUT);
+        session.tick();
+
+        session.ask("r1", session.key("just-made", session.now()), "d", PATIENCE);
+        assertThat(refusal().run()).isEqualTo(RunState.NOT_RUN);
+        session.ask("r2", session.key("asked-before", session.now().minusSeconds(5)), "d", PATIENCE);
+        assertThat(refusal().code()).isEqualTo(ResultCode.LOG_UNAVAILABLE);
+        assertThat(refusal().run()).isEqualTo(RunState.UNKNOWN);
+    }
+
     @Test
     void aLateAnswerToAnOldReadIsNotTakenInTwice() {
         LogBatch batch = new LogBatch(
