--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Attempt.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Attempt.java
@@ -19,6 +19,7 @@
  * @param deadline the attempt is given up at this time
  * @param priority 0 to 9, 9 most urgent
  * @param key the idempotency key to hand on; empty for idempotent work
+ * @param onNewConnection whether it may not use a connection that is open already
  */
 public record Attempt(
         AttemptId id,
@@ -28,4 +29,5 @@
         Instant startBefore,
         Instant deadline,
         int priority,
-        Optional<IdempotencyKey> key) {}
+        Optional<IdempotencyKey> key,
+        boolean onNewConnection) {}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -437,7 +437,8 @@
                 startBefore,
                 untilDeadline ? flow.deadline() : stageEnd,
                 priority(flow.worth()),
-                flow.idempotent() ? Optional.empty() : flow.request().key());
+                flow.idempotent() ? Optional.empty() : flow.request().key(),
+                needsNewConnection(flow));
         LiveAttempt live = new LiveAttempt(attempt, flow, now);
         flow.live().add(live);
         attempts.put(attempt.id(), live);
@@ -445,6 +446,15 @@
         effects.add(new Effect.LogDecision(decision(kind, attempt, choice)));
     }
 
+    /**
+     * Guards against connections that went silent all at once, as when a device between has lost its state: the attempt
+     * before fell silent, and so would each retry on a connection of the same age, at whichever upstream, until no attempt
+     * is left. A new connection works then. What must happen once goes over a new one anyway.
+     */
+    private static boolean needsNewConnection(RequestFlow flow) {
+        return !flow.idempotent() || flow.attemptsOfStage() > 1;
+    }
+
     private static Decision decision(String kind, Attempt attempt, Choice choice) {
         Decision.Builder builder = Decision.builder(kind)
                 .field("request", attempt.id().request())
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
@@ -28,6 +28,7 @@
     private final Consumer<AttemptId> ended;
     private volatile boolean byteLeft;
     private volatile boolean tooLate;
+    private volatile boolean answered;
     private Instant lastProgress = Instant.EPOCH;
 
     AttemptListener(
@@ -57,6 +58,7 @@
     }
 
     void onResponse(Response response) {
+        answered = true;
         progress();
     }
 
@@ -67,6 +69,11 @@
         }
     }
 
+    /** Whether a part of an answer has come. */
+    boolean answered() {
+        return answered;
+    }
+
     private void progress() {
         Instant now = clock.now();
         if (now.minus(PROGRESS_PERIOD).isBefore(lastProgress)) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
@@ -27,6 +27,10 @@
  * <p>What must happen once goes over a connection that is used for it alone: on a kept connection that the upstream
  * closes at the same moment nobody could tell whether the call had begun, and each such race would end as "unknown".
  * The client sends a request on a connection once; it never repeats one of which a byte was written.
+ *
+ * <p>Once an attempt was given up without a sign of an answer, the connections that are open to its upstream are not used
+ * for new attempts: what made one of them silent has probably made the others silent as well, and each would cost another
+ * request its attempt.
  */
 public final class AttemptSender {
     private final HttpClient kept;
@@ -34,13 +38,15 @@
     private final Exchanges exchanges;
     private final Consumer<Event> events;
     private final MonotonicClock clock;
-    private final Map<AttemptId, Request> live = new ConcurrentHashMap<>();
+    private final Map<AttemptId, Sent> live = new ConcurrentHashMap<>();
+
+    private record Sent(HttpClient client, Request request, AttemptListener listener) {}
 
     /**
      * Sends over the given clients.
      *
      * @param kept keeps connections for idempotent work
-     * @param fresh opens a connection for each call that must happen once
+     * @param fresh opens a connection for each call that may not use an open one
      * @param exchanges where a generating stage's tokens go
      * @param events takes progress and ends
      * @param clock tells whether an attempt's right to start has run out
@@ -61,10 +67,11 @@
             events.accept(new Event.AttemptEnded(attempt.id(), new AttemptEnd.NotStarted()));
             return;
         }
-        Request request = request(attempt, caller.get());
+        HttpClient client = attempt.onNewConnection() ? fresh : kept;
+        Request request = request(client, attempt, caller.get());
         AttemptListener listener =
                 new AttemptListener(attempt, reader(attempt, caller.get()), clock, events, this::forget);
-        live.put(attempt.id(), request);
+        live.put(attempt.id(), new Sent(client, request, listener));
         request.onRequestBegin(listener::onBegin)
                 .onResponseBegin(listener::onResponse)
                 .onResponseContent(listener::onContent)
@@ -73,10 +80,19 @@
 
     /** Gives up an attempt: its connection is closed. */
     public void cancel(AttemptId attempt) {
-        Request request = live.get(attempt);
-        if (request != null) {
-            request.abort(new CancellationException("given up"));
+        Sent sent = live.get(attempt);
+        if (sent == null) {
+            return;
         }
+        if (!sent.listener().answered()) {
+            leaveConnections(sent);
+        }
+        sent.request().abort(new CancellationException("given up"));
+    }
+
+    /** Requests that run on the connections go on; those that are idle close at their idle timeout. */
+    private static void leaveConnections(Sent sent) {
+        sent.client().removeDestination(sent.client().resolveDestination(sent.request()));
     }
 
     private void forget(AttemptId attempt) {
@@ -90,8 +106,7 @@
         };
     }
 
-    private Request request(Attempt attempt, CallerExchange caller) {
-        HttpClient client = attempt.key().isPresent() ? fresh : kept;
+    private static Request request(HttpClient client, Attempt attempt, CallerExchange caller) {
         Request request = client.newRequest(
                         attempt.upstream().host(), attempt.upstream().port())
                 .method(HttpMethod.POST)
@@ -102,7 +117,7 @@
                     headers.put("Wagtaillug-Priority", Integer.toString(attempt.priority()));
                 })
                 .body(new BytesRequestContent("application/json", body(attempt, caller)));
-        if (attempt.key().isPresent()) {
+        if (attempt.onNewConnection()) {
             request.headers(headers -> headers.put(HttpHeader.CONNECTION, "close"));
         }
         return request;
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/upstream/AttemptSenderTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/upstream/AttemptSenderTest.java
@@ -9,7 +9,12 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -47,6 +52,8 @@
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final Exchanges exchanges = new Exchanges();
     private final HttpClient client = new HttpClient();
+    private final HttpClient fresh = new HttpClient();
+    private final Set<InetSocketAddress> connections = ConcurrentHashMap.newKeySet();
     private final AtomicInteger calls = new AtomicInteger();
     private HttpServer upstream;
     private AttemptSender sender;
@@ -56,10 +63,11 @@
     @BeforeEach
     void start() throws Exception {
         client.start();
+        fresh.start();
         upstream = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
         upstream.createContext("/", this::answer);
         upstream.start();
-        sender = new AttemptSender(client, client, exchanges, events::add, clock);
+        sender = new AttemptSender(client, fresh, exchanges, events::add, clock);
         OpenExchange.add(exchanges, new RequestId("r"));
     }
 
@@ -67,10 +75,12 @@
     void stop() throws Exception {
         upstream.stop(0);
         client.stop();
+        fresh.stop();
     }
 
     private void answer(HttpExchange exchange) throws IOException {
         calls.incrementAndGet();
+        connections.add(exchange.getRemoteAddress());
         exchange.getRequestBody().readAllBytes();
         byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
         exchange.sendResponseHeaders(status, bytes.length);
@@ -162,6 +172,76 @@
         assertThat(calls).hasValue(0);
     }
 
+    @Test
+    void aRetryDoesNotUseAnOpenConnection() throws Exception {
+        // A device between the ends has lost track of all connections at once. A retry on one of them would hang like
+        // the first attempt, and so would the next, until the request has no attempt left.
+        end(attempt(ENCODE, 1, 1000));
+        end(onNewConnection(attempt(ENCODE, 2, 1000)));
+        end(attempt(ENCODE, 3, 1000));
+        assertThat(connections)
+                .as("of the first and third attempt, and of the retry")
+                .hasSize(2);
+    }
+
+    @Test
+    void theOpenConnectionsAreLeftAfterAnAttemptWithoutASign() throws Exception {
+        // Two connections are open and both go silent. The first attempt on one of them is given up; without more the
+        // next request would find the other one and be late as well.
+        ExecutorService threads = Executors.newCachedThreadPool();
+        CountDownLatch bothThere = new CountDownLatch(2);
+        CountDownLatch ended = new CountDownLatch(1);
+        upstream.stop(0);
+        upstream = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+        upstream.setExecutor(threads);
+        upstream.createContext("/", exchange -> {
+            bothThere.countDown();
+            await(bothThere);
+            boolean silent =
+                    exchange.getRequestHeaders().getFirst("Wagtaillug-Attempt").endsWith("/3");
+            await(silent ? ended : bothThere);
+            answer(exchange);
+        });
+        upstream.start();
+        try {
+            sender.start(attempt(ENCODE, 1, 1000));
+            end(attempt(ENCODE, 2, 1000));
+            awaitEnd();
+            Attempt silent = attempt(ENCODE, 3, 1000);
+            sender.start(silent);
+            sender.cancel(silent.id());
+            awaitEnd();
+            Set<InetSocketAddress> before = Set.copyOf(connections);
+            connections.clear();
+            end(attempt(ENCODE, 4, 1000));
+            assertThat(connections).doesNotContainAnyElementsOf(before);
+        } finally {
+            ended.countDown();
+            threads.shutdownNow();
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await(10, TimeUnit.SECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Attempt onNewConnection(Attempt attempt) {
+        return new Attempt(
+                attempt.id(),
+                attempt.stage(),
+                attempt.upstream(),
+                attempt.input(),
+                attempt.startBefore(),
+                attempt.deadline(),
+                attempt.priority(),
+                attempt.key(),
+                true);
+    }
+
     private static String event(int offset, String text, String reason) {
         return "data: {\"id\": \"r/generate/1\", \"request\": \"r\", \"token_offset\": " + offset
                 + ", \"choices\": [{\"text\": \"" + text + "\", \"finish_reason\": " + reason + "}]}\n\n";
@@ -191,11 +271,16 @@
                 clock.now().plusMillis(startWithinMillis),
                 clock.now().plusSeconds(5),
                 5,
-                key);
+                key,
+                key.isPresent());
     }
 
     private AttemptEnd end(Attempt attempt) throws InterruptedException {
         sender.start(attempt);
+        return awaitEnd();
+    }
+
+    private AttemptEnd awaitEnd() throws InterruptedException {
         while (true) {
             Event event = events.poll(10, TimeUnit.SECONDS);
             assertThat(event).as("an end within 10 s").isNotNull();
