Administration: a change sent again is answered, not written again; views as their page says

A body of kind unknown is refused, what is not known is refused with the new code 109, and refusals carry run and Retry-After. Nodes, ownership, requests and decisions now have the fields that docs/API.md and the operators' tool expect; wagtaillugctl ownership showed nothing before. A change counts as in force only at nodes that are fresh, as the page and the tool have it.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/result/ResultCode.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/result/ResultCode.java
@@ -28,6 +28,8 @@
     FORBIDDEN(107, 403),
     /** A request with this id is in flight on the node. */
     REQUEST_IN_FLIGHT(108, 409),
+    /** The administration interface knows nothing of this path, key or request. */
+    NOT_FOUND(109, 404),
     /** The rest of the deadline is shorter than the work still takes. */
     DEADLINE_CANNOT_BE_MET(200, 503),
     /** The node has as many requests as it bears, and others are worth more. */
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/DecisionLog.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/DecisionLog.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -18,28 +19,41 @@
     private static final Logger LOGGER = System.getLogger("wagtaillug.decision");
     private static final int REMEMBERED = 20_000;
 
-    private final Deque<Decision> last = new ArrayDeque<>();
+    private final Deque<Remembered> last = new ArrayDeque<>();
 
-    /** Writes a decision. */
-    public synchronized void write(Decision decision) {
+    private record Remembered(Instant time, Decision decision) {}
+
+    /** Writes a decision that was made at a time. */
+    public synchronized void write(Decision decision, Instant time) {
         LOGGER.log(Level.INFO, () -> Json.text(json(decision)));
-        last.addLast(decision);
+        last.addLast(new Remembered(time, decision));
         if (last.size() > REMEMBERED) {
             last.removeFirst();
         }
     }
 
-    /** The remembered decisions about a request, oldest first. */
+    /** The remembered decisions about a request, oldest first: objects with time, kind, fields and alternatives. */
     public synchronized List<ObjectNode> about(String request) {
         List<ObjectNode> found = new ArrayList<>();
-        for (Decision decision : last) {
-            if (request.equals(decision.fields().get("request"))) {
-                found.add(json(decision));
+        for (Remembered remembered : last) {
+            if (request.equals(remembered.decision().fields().get("request"))) {
+                found.add(view(remembered));
             }
         }
         return found;
     }
 
+    private static ObjectNode view(Remembered remembered) {
+        ObjectNode view = Json.object();
+        view.put("time", remembered.time().toString());
+        view.put("kind", remembered.decision().kind());
+        ObjectNode fields = view.putObject("fields");
+        remembered.decision().fields().forEach(fields::put);
+        ArrayNode alternatives = view.putArray("alternatives");
+        remembered.decision().alternatives().forEach(alternatives::add);
+        return view;
+    }
+
     private static ObjectNode json(Decision decision) {
         ObjectNode json = Json.object();
         json.put("decision", decision.kind());
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/EffectRunner.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/EffectRunner.java
@@ -136,6 +136,6 @@
 
     private void decide(Effect.LogDecision log) {
         parts.metrics().decided(log.decision().kind());
-        parts.decisions().write(log.decision());
+        parts.decisions().write(log.decision(), parts.clock().now());
     }
 }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
@@ -7,8 +7,8 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
@@ -19,6 +19,8 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.URIUtil;
 import org.wagtaillug.contract.Body;
 import org.wagtaillug.daemon.DecisionLog;
 import org.wagtaillug.daemon.Json;
@@ -40,7 +42,9 @@
     private static final String CHANGES = "/admin/changes/";
     private static final String REQUESTS = "/admin/requests/";
     private static final int LONGEST_BODY = 1024 * 1024;
+    private static final int LONGEST_CHANGE_ID = 128;
     private static final long LONGEST_WAIT_MILLIS = 10_000;
+    private static final long MILLIS_OF_SECOND = 1000;
     private static final long NEWEST = -1;
 
     private final ControlThread control;
@@ -89,17 +93,22 @@
             refuse(exchange, ResultCode.FORBIDDEN, "no valid token; expected \"Authorization: Bearer TOKEN\"");
             return;
         }
-        if (HttpMethod.POST.is(exchange.request().getMethod())) {
+        String method = exchange.request().getMethod();
+        if (HttpMethod.POST.is(method)) {
             post(path, holder.get(), exchange);
             return;
         }
-        get(path, exchange);
+        if (HttpMethod.GET.is(method)) {
+            get(path, exchange);
+            return;
+        }
+        unknown(path, exchange);
     }
 
     private void get(String path, Exchange exchange) {
         switch (path) {
             case "/admin/configuration" -> answer(exchange, (node, now) -> Views.configuration(node));
-            case "/admin/nodes" -> answer(exchange, Views::nodes);
+            case "/admin/nodes" -> answer(exchange, (node, now) -> Views.nodes(node, ready.getAsBoolean(), now));
             case "/admin/upstreams" -> answer(exchange, Views::upstreams);
             case "/admin/ownership" -> answer(exchange, Views::ownership);
             case "/admin/requests" -> answer(exchange, Views::requests);
@@ -109,26 +118,36 @@
 
     private void getOne(String path, Exchange exchange) {
         if (path.startsWith(CONFIGURATION)) {
-            entry(path.substring(CONFIGURATION.length()), exchange);
+            entry(URIUtil.decodePath(path.substring(CONFIGURATION.length())), exchange);
             return;
         }
         if (path.startsWith(REQUESTS)) {
-            String request = path.substring(REQUESTS.length());
-            write(exchange, 200, Views.decisions(request, decisions.about(request)));
+            request(URIUtil.decodePath(path.substring(REQUESTS.length())), exchange);
             return;
         }
         Try<Long> version = Try.of(() -> Long.parseLong(path.substring(CHANGES.length())));
         if (path.startsWith(CHANGES) && version.isSuccess()) {
-            answer(exchange, (node, now) -> Views.change(node, version.get(), now));
+            answer(exchange, (node, now) -> Views.change(node, ready.getAsBoolean(), version.get(), now));
             return;
         }
         unknown(path, exchange);
     }
 
     private void unknown(String path, Exchange exchange) {
-        ObjectNode body = Json.object();
-        body.put("message", "path \"" + path + "\" is not known; expected one of those in docs/API.md");
-        write(exchange, 404, body);
+        String method = exchange.request().getMethod();
+        String message = method + " \"" + path + "\" is not known; expected one of the calls in docs/API.md";
+        refuse(exchange, ResultCode.NOT_FOUND, message);
+    }
+
+    private void request(String request, Exchange exchange) {
+        List<ObjectNode> about = decisions.about(request);
+        if (about.isEmpty()) {
+            String message =
+                    "request \"" + request + "\" is not known; expected one that this node decided about lately";
+            refuse(exchange, ResultCode.NOT_FOUND, message);
+            return;
+        }
+        write(exchange, 200, Views.decisions(request, about));
     }
 
     private void entry(String key, Exchange exchange) {
@@ -138,9 +157,8 @@
                 return;
             }
             if (entry.isEmpty()) {
-                ObjectNode body = Json.object();
-                body.put("message", "key \"" + key + "\" was never set");
-                write(exchange, 404, body);
+                String message = "key \"" + key + "\" was never set; expected one of GET /admin/configuration";
+                refuse(exchange, ResultCode.NOT_FOUND, message);
                 return;
             }
             write(exchange, 200, Views.entry(entry.get()));
@@ -166,16 +184,30 @@
             refuse(exchange, ResultCode.FORBIDDEN, "the token's role is reader; expected operator");
             return;
         }
-        Try<JsonNode> body = Try.of(() -> Content.Source.asString(exchange.request()))
-                .filter(text -> text.length() <= LONGEST_BODY)
-                .flatMap(Json::read);
+        Promise.Invocable<byte[]> body = Promise.Invocable.from(
+                getInvocationType(),
+                bytes -> change(bytes, holder.operator(), exchange),
+                fault -> notWhole(fault, exchange));
+        Content.Source.asByteArrayAsync(exchange.request(), LONGEST_BODY, body);
+    }
+
+    private static void notWhole(Throwable fault, Exchange exchange) {
+        if (fault instanceof IllegalStateException) {
+            refuse(exchange, ResultCode.TOO_LARGE, "the body is too long; expected at most " + LONGEST_BODY + " bytes");
+            return;
+        }
+        refuse(exchange, ResultCode.BODY_CUT, "the body broke off");
+    }
+
+    private void change(byte[] bytes, OperatorId operator, Exchange exchange) {
+        Try<JsonNode> body = Json.read(bytes);
         Either<String, Submission> submission =
-                body.isFailure() ? Either.left("the body is not JSON or too long") : submission(body.get());
+                body.isFailure() ? Either.left("the body is not JSON") : submission(body.get());
         if (submission.isLeft()) {
             refuse(exchange, ResultCode.MALFORMED, submission.getLeft());
             return;
         }
-        submit(submission.get(), holder.operator(), exchange);
+        submit(submission.get(), operator, exchange);
     }
 
     private record Submission(String key, long base, Body body, String changeId) {}
@@ -183,8 +215,12 @@
     private static Either<String, Submission> submission(JsonNode json) {
         String key = json.path("key").asText("");
         String changeId = json.path("change_id").asText("");
-        if (key.isEmpty() || changeId.isEmpty() || !json.path("base").isIntegralNumber()) {
-            return Either.left("expected \"key\", \"base\" (a version, or -1), \"change_id\" and \"body\"");
+        if (key.isEmpty()
+                || changeId.isEmpty()
+                || changeId.length() > LONGEST_CHANGE_ID
+                || !json.path("base").isIntegralNumber()) {
+            return Either.left(
+                    "expected \"key\", \"base\" (a version, or -1), \"change_id\" (1 to 128 characters) and \"body\"");
         }
         return Contracts.fromJson(Json.text(json.path("body")))
                 .mapLeft(problems -> problems.get(0).toString())
@@ -192,19 +228,27 @@
     }
 
     private static Either<String, Submission> matching(String key, long base, Body body, String changeId) {
-        boolean nameless = body instanceof Body.Removed || body instanceof Body.Unknown;
-        if (!nameless && !body.key().equals(key)) {
+        if (body instanceof Body.Unknown) {
+            // It stands for what a newer node wrote. Taken in, it would put out of force what nobody here can read.
+            return Either.left("body.kind is \"unknown\"; expected a kind that this node knows, see docs/API.md");
+        }
+        if (!(body instanceof Body.Removed) && !body.key().equals(key)) {
             return Either.left("key is \"" + key + "\"; expected \"" + body.key() + "\" for this body");
         }
         return Either.right(new Submission(key, base, body, changeId));
     }
 
     private void submit(Submission wanted, OperatorId operator, Exchange exchange) {
-        CompletableFuture<Either<Refusal, Long>> outcome = pending.await(wanted.changeId());
-        control.query((node, now) -> wanted.base() == NEWEST ? node.state().versionOf(wanted.key()) : wanted.base())
-                .thenAccept(base -> control.submit(new Event.ChangeSubmitted(
-                        new LogRecord.Change(wanted.key(), base, wanted.body(), operator, wanted.changeId()))));
-        outcome.copy().orTimeout(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS).whenComplete((result, fault) -> {
+        PendingChanges.Known known = pending.await(wanted.changeId(), List.of(wanted, operator));
+        if (!known.same()) {
+            String message = "change id \"" + wanted.changeId() + "\" was used for another change; expected a new one";
+            refuse(exchange, ResultCode.MALFORMED, message);
+            return;
+        }
+        if (known.first()) {
+            hand(wanted, operator);
+        }
+        known.outcome().orTimeout(LONGEST_WAIT_MILLIS, TimeUnit.MILLISECONDS).whenComplete((result, fault) -> {
             if (fault != null) {
                 Refusal refusal = Refusal.unknown(
                         ResultCode.LOG_UNAVAILABLE, Duration.ofSeconds(1), "the log has not answered yet");
@@ -216,6 +260,12 @@
         });
     }
 
+    private void hand(Submission wanted, OperatorId operator) {
+        control.query((node, now) -> wanted.base() == NEWEST ? node.state().versionOf(wanted.key()) : wanted.base())
+                .thenAccept(base -> control.submit(new Event.ChangeSubmitted(
+                        new LogRecord.Change(wanted.key(), base, wanted.body(), operator, wanted.changeId()))));
+    }
+
     private static void accepted(Exchange exchange, String changeId, long version) {
         ObjectNode body = Json.object();
         body.put("change_id", changeId);
@@ -233,6 +283,10 @@
         body.put("run", refusal.run().text());
         body.put("message", refusal.message());
         body.put("retry_after_millis", refusal.retryAfter().toMillis());
+        if (!refusal.retryAfter().isZero()) {
+            long seconds = Math.ceilDiv(refusal.retryAfter().toMillis(), MILLIS_OF_SECOND);
+            exchange.response().getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
+        }
         write(exchange, refusal.code().status(), body);
     }
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/Views.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/Views.java
@@ -45,10 +45,12 @@
         return view;
     }
 
-    static ObjectNode nodes(Node node, Instant now) {
+    static ObjectNode nodes(Node node, boolean ready, Instant now) {
         ObjectNode view = Json.object();
         ArrayNode nodes = view.putArray("nodes");
-        nodes.add(self(node, now));
+        ObjectNode self = self(node, now);
+        self.put("ready", ready);
+        nodes.add(self);
         for (PeerView peer : node.members().peers(now)) {
             nodes.add(peer(peer));
         }
@@ -59,6 +61,7 @@
         Standing standing = node.members().standing(now);
         ObjectNode view = Json.object();
         view.put("node", node.members().self().toString());
+        view.put("vm", node.members().self().vm().value());
         view.put("domain", node.members().domain().value());
         view.put("through", node.state().through());
         view.put("heard_millis", 0);
@@ -70,19 +73,21 @@
     private static ObjectNode peer(PeerView peer) {
         ObjectNode view = Json.object();
         view.put("node", peer.node().toString());
+        view.put("vm", peer.node().vm().value());
         view.put("domain", peer.domain().value());
         view.put("through", peer.through());
         view.put("heard_millis", peer.silence().map(Duration::toMillis).orElse(-1L));
         view.put("fresh", peer.heard() && peer.logReachable());
+        view.put("ready", peer.heard() && peer.ready());
         return view;
     }
 
-    /** Whether a version is in force at every node that still takes work, and at which it is not. */
-    static ObjectNode change(Node node, long version, Instant now) {
-        ObjectNode view = nodes(node, now);
+    /** Whether a version is in force at every member of the roster, and at which it is not as far as this node knows. */
+    static ObjectNode change(Node node, boolean ready, long version, Instant now) {
+        ObjectNode view = nodes(node, ready, now);
         ArrayNode waiting = Json.object().putArray("waiting_for");
         for (JsonNode each : view.path("nodes")) {
-            if (each.path("through").asLong() < version) {
+            if (each.path("through").asLong() < version || !each.path("fresh").asBoolean()) {
                 waiting.add(each.path("node").asText());
             }
         }
@@ -110,7 +115,7 @@
         view.put("domain", vm.domain().value());
         view.put("leaving", vm.leaving());
         view.put("in_service", node.state().inService(vm));
-        view.put("owner", node.members().ownerOf(vm).map(Object::toString).orElse(""));
+        node.members().ownerOf(vm).ifPresent(owner -> view.put("owner", owner.toString()));
         grant.ifPresent(known -> {
             view.put("cold", known.cold());
             view.put("allowed", known.allowance());
@@ -128,21 +133,27 @@
     static ObjectNode ownership(Node node, Instant now) {
         Map<VmId, GrantView> grants = grants(node, now);
         ObjectNode view = Json.object();
-        ArrayNode owned = view.putArray("upstreams");
+        ArrayNode ownership = view.putArray("ownership");
         for (Vm vm : node.upstreams()) {
-            ObjectNode line = owned.addObject();
-            line.put("vm", vm.id().value());
-            line.put("owner", node.members().ownerOf(vm).map(Object::toString).orElse(""));
-            GrantView grant = grants.get(vm.id());
-            if (grant != null && grant.limit() > 0) {
-                line.put("limit", grant.limit());
-                ObjectNode reserves = line.putObject("reserves");
-                grant.reserves().forEach((holder, reserve) -> reserves.put(holder.toString(), reserve));
-            }
+            ownership.add(owned(node, vm, Optional.ofNullable(grants.get(vm.id())), now));
         }
         return view;
     }
 
+    private static ObjectNode owned(Node node, Vm vm, Optional<GrantView> grant, Instant now) {
+        ObjectNode line = Json.object();
+        line.put("vm", vm.id().value());
+        node.members().ownerOf(vm).ifPresent(owner -> line.put("owner", owner.toString()));
+        line.put("fencing_number", node.members().fencingNumber(vm));
+        line.put("may_grant", node.members().mayGrant(vm, now));
+        grant.filter(known -> known.limit() > 0).ifPresent(known -> {
+            line.put("limit", known.limit());
+            ObjectNode reserves = line.putObject("reserves");
+            known.reserves().forEach((holder, reserve) -> reserves.put(holder.toString(), reserve));
+        });
+        return line;
+    }
+
     private static Map<VmId, GrantView> grants(Node node, Instant now) {
         Map<VmId, GrantView> grants = new HashMap<>();
         for (GrantView grant : node.grants(now)) {
@@ -159,10 +170,12 @@
             line.put("request", flow.request());
             line.put("customer", flow.customer());
             line.put("template", flow.template());
+            line.put("template_version", flow.templateVersion());
             line.put("stage", flow.stage());
             line.put("state", flow.state());
             line.put("attempts", flow.attempts());
-            line.put("millis_left", flow.millisLeft());
+            line.put("age_millis", flow.ageMillis());
+            line.put("left_millis", flow.millisLeft());
         }
         return view;
     }
