--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -536,7 +536,10 @@
             return;
         }
         boolean late = !live.attempt().deadline().isAfter(now);
+        // What must happen once cannot be tried again, so that giving it up early gains nothing: a booking that takes
+        // longer than usual would be reported as unknown although its confirmation is about to come.
         boolean stalled = policy.hedges()
+                && live.flow().idempotent()
                 && upstreams.stalled(live.attempt().upstream().id(), live.startedAt(), live.lastProgress(), now);
         if (late || stalled) {
             live.markStalled();
@@ -606,9 +609,11 @@
                     flow.request().id().value(),
                     flow.request().customer().value(),
                     flow.request().template().value(),
+                    flow.template().version(),
                     flow.stage().id().value(),
                     flow.waiting() ? "waiting" : flow.awaitingClaim() ? "claiming" : "running",
                     flow.attempts(),
+                    Duration.between(flow.arrivedAt(), now).toMillis(),
                     millisLeft(flow, now)));
         }
         return views;
@@ -620,17 +625,21 @@
      * @param request its id
      * @param customer on whose behalf
      * @param template its template
+     * @param templateVersion the version of it that it runs under
      * @param stage the stage it is in
      * @param state waiting, claiming or running
      * @param attempts so far
+     * @param ageMillis since its arrival
      * @param millisLeft to its deadline
      */
     public record FlowView(
             String request,
             String customer,
             String template,
+            long templateVersion,
             String stage,
             String state,
             int attempts,
+            long ageMillis,
             long millisLeft) {}
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
@@ -211,9 +211,12 @@
         }
     }
 
-    /** Whether this node hears more than half of those it watches, or could not tell because it watches one or none. */
+    /**
+     * Whether this node and those that it hears are more than half of it and those that it watches, or it could not tell
+     * because it watches one or none. Of three nodes each watches two: with one dead the others must still agree.
+     */
     private boolean hearsMost(Instant now) {
-        return watches.all().size() <= 1 || 2 * heardCount(now) > watches.all().size();
+        return watches.all().size() <= 1 || 2 * heardCount(now) >= watches.all().size();
     }
 
     private int heardCount(Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
@@ -70,7 +70,10 @@
         grantOwner = new GrantOwner(members, state);
         grantHolder = new GrantHolder(members, state, grantOwner);
         placement = new Placement(members, state);
-        claims = Claims.builder(setup.self()).retention(setup.retention()).build();
+        claims = Claims.builder(setup.self())
+                .members(state::isMember)
+                .retention(setup.retention())
+                .build();
         Upstreams upstreams = setup.naive()
                 ? new UngrantedUpstreams(directory)
                 : new GrantedUpstreams(directory, grantHolder, health);
@@ -109,6 +112,9 @@
         controlLog.onTick(now, effects);
         members.onTick(now, effects);
         claims.onTick(now, effects);
+        // At its deadline a request that waits for a key is answered by the claims, which know whether another request
+        // with the key runs. The dispatcher, which does not, would say "not run" of a key that is being run.
+        takeVerdicts(now);
         readVmList(now);
         grantOwner.onTick(now, effects);
         dispatcher.onTick(now, effects);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
@@ -128,6 +128,10 @@
                     exchange.callback());
             return;
         }
+        // The deadline ends a request, not the silence until its answer: a connection that is cut while the work goes
+        // on
+        // would leave its caller with nothing known.
+        exchange.request().addIdleTimeoutListener(timeout -> false);
         caller.onGone(this::gone, exchange.request());
         events.accept(new Event.RequestArrived(caller.request()));
     }
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/callers/CallersHandlerTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/callers/CallersHandlerTest.java
@@ -101,6 +101,22 @@
         assertThat(answer.path("message").asText()).contains(name, value, message);
     }
 
+    @Test
+    void anAnswerThatTakesLongerThanTheIdleTimeoutStillComes() throws Exception {
+        // A booking takes long at its service. After half a minute without a byte the server closed the connection: its
+        // caller did not learn that the table was booked.
+        ((ServerConnector) server.getConnectors()[0]).setIdleTimeout(50);
+        CompletableFuture<HttpResponse<String>> answer = client.sendAsync(
+                request("{\"input\": 1}").header("Wagtaillug-Customer", "c").build(),
+                HttpResponse.BodyHandlers.ofString());
+        Event.RequestArrived arrived = (Event.RequestArrived) events.poll(10, TimeUnit.SECONDS);
+        CompletableFuture.delayedExecutor(500, TimeUnit.MILLISECONDS).execute(() -> exchanges
+                .take(arrived.request().id())
+                .ifPresent(exchange -> exchange.served(1, Payload.of("1"))));
+        assertThat(answer.get(10, TimeUnit.SECONDS).statusCode()).isEqualTo(200);
+        assertThat(events).isEmpty();
+    }
+
     @Test
     void aBodyThatIsTooLongIsRefusedBeforeItIsRead() throws Exception {
         String body = "{\"input\": \"" + "x".repeat(LONGEST_BODY) + "\"}";
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/process/Http.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/process/Http.java
@@ -21,6 +21,7 @@
 
     Http() throws Exception {
         client.setMaxConnectionsPerDestination(CONNECTIONS);
+        client.setIdleTimeout(0);
         client.start();
     }
 
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/process/LivingFleetTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/process/LivingFleetTest.java
@@ -7,8 +7,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.UUID;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -194,6 +196,71 @@
         assertThat(fleet.standIns().recordsWith("control", changeId)).isOne();
     }
 
+    /**
+     * Story: an operator's tool loses the answer to a change and sends it again. Meanwhile another operator has changed the
+     * same key. Written a second time, from whatever version is newest, the first change would undo the second.
+     */
+    @Test
+    void aChangeThatIsSentAgainIsAnsweredWithItsFirstOutcomeAndNotWrittenAgain() throws Exception {
+        NodeProcess node = fleet.node(1);
+        String changeId = UUID.randomUUID().toString();
+        ObjectNode body = Json.object().put("kind", "pool").put("id", "encode").put("warm_limit", 9);
+        Answer first = node.change("pool/encode", -1, body, changeId);
+        assertThat(first.status()).as(first.toString()).isEqualTo(200);
+        ObjectNode others = body.deepCopy().put("warm_limit", 10);
+        Answer between =
+                node.change("pool/encode", -1, others, UUID.randomUUID().toString());
+        assertThat(between.status()).as(between.toString()).isEqualTo(200);
+        assertThat(node.change("pool/encode", -1, body, changeId)).isEqualTo(first);
+        assertThat(node.versions())
+                .containsEntry("pool/encode", between.json().path("version").asLong());
+        assertThat(fleet.standIns().recordsWith("control", changeId)).isOne();
+        assertRefused(node.change("pool/encode", -1, others, changeId), 400, 100, "was used for another change");
+    }
+
+    @Test
+    void whatTheAdministrationInterfaceDoesNotKnowIsRefusedWithACode() throws Exception {
+        NodeProcess node = fleet.node(1);
+        assertRefused(node.adminAnswer("nodse"), 404, 109, "nodse");
+        assertRefused(node.adminAnswer("configuration/pool/encoed"), 404, 109, "pool/encoed");
+        assertRefused(node.adminAnswer("requests/r-7"), 404, 109, "r-7");
+        ObjectNode unknown =
+                Json.object().put("kind", "unknown").put("name", "quota").put("text", "{}");
+        Answer refused =
+                node.change("pool/encode", -1, unknown, UUID.randomUUID().toString());
+        assertRefused(refused, 400, 100, "unknown");
+        ObjectNode large = Json.object().put("kind", "pool").put("id", "x".repeat(1024 * 1024));
+        assertRefused(node.change("pool/x", -1, large, UUID.randomUUID().toString()), 413, 101, "1048576");
+    }
+
+    private static void assertRefused(Answer answer, int status, int code, String message) {
+        assertThat(answer.status()).as(answer.toString()).isEqualTo(status);
+        assertThat(answer.resultCode()).as(answer.toString()).isEqualTo(code);
+        assertThat(answer.run()).as(answer.toString()).isEqualTo("not-run");
+        assertThat(answer.json().path("message").asText()).contains(message);
+    }
+
+    /** Each view has the fields that docs/API.md gives it and that the operators' tool shows. */
+    @Test
+    void theViewsHaveTheFieldsOfTheirPage() throws Exception {
+        NodeProcess node = fleet.node(1);
+        Answer draft = node.draft(Fleet.DEADLINE_MILLIS);
+        assertThat(draft.served()).as(draft.toString()).isTrue();
+        JsonNode decisions =
+                node.admin("requests/" + draft.json().path("request").asText());
+        assertThat(decisions.at("/decisions/0").properties())
+                .extracting(Map.Entry::getKey)
+                .containsExactly("time", "kind", "fields", "alternatives");
+        assertThat(node.admin("nodes").at("/nodes/1").properties())
+                .extracting(Map.Entry::getKey)
+                .containsExactly("node", "vm", "domain", "through", "heard_millis", "fresh", "ready");
+        assertThat(node.admin("ownership").at("/ownership/0").properties())
+                .extracting(Map.Entry::getKey)
+                .startsWith("vm", "owner", "fencing_number", "may_grant");
+        assertThat(fleet.operate("ownership")).contains("encode-zone-a").contains("yes");
+        assertThat(fleet.operate("nodes")).contains("node-3");
+    }
+
     /**
      * Story: the log records the claim of a booking's key, but the answer is lost. The caller waits for its table. A node
      * that claimed again, or that sent without knowing who holds the key, could book twice.
@@ -210,6 +277,31 @@
         assertThat(fleet.standIns().executions(key)).isOne();
     }
 
+    /**
+     * Story: a booking takes long, its caller gives up and asks another node with the same key, but with little time. At its
+     * deadline that node knows that the key is being run. Were it to answer "not run", the caller would tell its guest so,
+     * and the table would be booked all the same.
+     */
+    @Test
+    void aRepeatWhoseDeadlinePassesWhileTheKeyRunsIsNotToldNotRun() throws Exception {
+        for (String service : StandIns.pool(StandIns.SERVICES)) {
+            fleet.standIns().fault(service, "{\"fault\": \"slow\", \"factor\": 1000}");
+        }
+        String key = Fleet.newKey();
+        CompletableFuture<Answer> first =
+                CompletableFuture.supplyAsync(() -> fleet.node(1).booking(key, Fleet.DEADLINE_MILLIS));
+        Waiting.until("the first runs", () -> fleet.node(1).attempts("book") == 1);
+        // The second node sends only when it has read its own claim, which stands after that of the first.
+        CompletableFuture<Answer> other =
+                CompletableFuture.supplyAsync(() -> fleet.node(2).booking(Fleet.newKey(), Fleet.DEADLINE_MILLIS));
+        Waiting.until("the second node has read the claims", () -> fleet.node(2).attempts("book") == 1);
+        Answer repeat = fleet.node(2).booking(key, 2_000);
+        assertThat(repeat.run()).as(repeat.toString()).isNotEqualTo("not-run");
+        assertThat(first.get().served()).as(first.get().toString()).isTrue();
+        assertThat(other.get().served()).as(other.get().toString()).isTrue();
+        assertThat(fleet.standIns().executions(key)).isOne();
+    }
+
     private static List<Answer> together(List<Callable<Answer>> calls) throws Exception {
         ExecutorService callers = Executors.newFixedThreadPool(calls.size());
         try {
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/process/NodeProcess.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/process/NodeProcess.java
@@ -122,6 +122,17 @@
         return found;
     }
 
+    /** How many attempts the requests in a stage have sent. */
+    int attempts(String stage) {
+        int found = 0;
+        for (JsonNode request : admin("requests").path("requests")) {
+            if (request.path("stage").asText().equals(stage)) {
+                found += request.path("attempts").asInt();
+            }
+        }
+        return found;
+    }
+
     /** The version of each key in force here, by key. */
     Map<String, Long> versions() {
         Map<String, Long> versions = new HashMap<>();
