--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -446,7 +446,8 @@
                 startBefore,
                 untilDeadline ? flow.deadline() : stageEnd,
                 priority(flow.worth()),
-                flow.idempotent() ? Optional.empty() : flow.request().key());
+                flow.idempotent() ? Optional.empty() : flow.request().key(),
+                needsNewConnection(flow));
         LiveAttempt live = new LiveAttempt(attempt, flow, now);
         flow.live().add(live);
         attempts.put(attempt.id(), live);
@@ -454,6 +455,15 @@
         effects.add(new Effect.LogDecision(decision(kind, attempt, choice)));
     }
 
+    /**
+     * Guards against connections that went silent all at once, as when a device between has lost its state: the attempt
+     * before fell silent, and so would each retry on a connection of the same age, at whichever upstream, until no attempt
+     * is left. A new connection works then. What must happen once goes over a new one anyway.
+     */
+    private static boolean needsNewConnection(RequestFlow flow) {
+        return !flow.idempotent() || flow.attemptsOfStage() > 1;
+    }
+
     private static Decision decision(String kind, Attempt attempt, Choice choice) {
         Decision.Builder builder = Decision.builder(kind)
                 .field("request", attempt.id().request())
@@ -543,7 +553,10 @@
             return;
         }
         boolean late = !live.attempt().deadline().isAfter(now);
+        // What must happen once cannot be tried again, so that giving it up early gains nothing: a booking that takes
+        // longer than usual would be reported as unknown although its confirmation is about to come.
         boolean stalled = policy.hedges()
+                && live.flow().idempotent()
                 && upstreams.stalled(live.attempt().upstream().id(), live.startedAt(), live.lastProgress(), now);
         if (late || stalled) {
             live.markStalled();
@@ -613,9 +626,11 @@
                     flow.request().id().value(),
                     flow.request().customer().value(),
                     flow.request().template().value(),
+                    flow.template().version(),
                     flow.stage().id().value(),
                     flow.waiting() ? "waiting" : flow.awaitingClaim() ? "claiming" : "running",
                     flow.attempts(),
+                    Duration.between(flow.arrivedAt(), now).toMillis(),
                     millisLeft(flow, now)));
         }
         return views;
@@ -627,17 +642,21 @@
      * @param request its id
      * @param customer on whose behalf
      * @param template its template
+     * @param templateVersion the version of it that it runs under
      * @param stage the stage it is in
      * @param state waiting, claiming or running
      * @param attempts so far
+     * @param ageMillis since its arrival
      * @param millisLeft to its deadline
      */
     public record FlowView(
             String request,
             String customer,
             String template,
+            long templateVersion,
             String stage,
             String state,
             int attempts,
+            long ageMillis,
             long millisLeft) {}
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
@@ -116,6 +116,8 @@
         controlLog.onTick(now, effects);
         members.onTick(now, effects);
         claims.onTick(now, effects);
+        // At its deadline a request that waits for a key is answered by the claims, which know whether another request
+        // with the key runs. The dispatcher, which does not, would say "not run" of a key that is being run.
         takeVerdicts(now);
         dispatcher.onTick(now, effects);
         grantHolder.onTick(now, effects);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/claim/ClaimsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/claim/ClaimsTest.java
@@ -174,6 +174,7 @@
      */
     @Test
     void anOlderKeyIsNotSaidNotToHaveRunWhileTheLogCannotBeRead() {
+        session.read(ClaimsSession.claimOf(ClaimsSession.OTHER, "rival", "k", "d"));
         session.after(ClaimReader.READ_TIMEOUT);
         session.tick();
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
@@ -28,6 +28,10 @@
  * <p>What must happen once goes over a connection that is used for it alone: on a kept connection that the upstream
  * closes at the same moment nobody could tell whether the call had begun, and each such race would end as "unknown".
  * The client sends a request on a connection once; it never repeats one of which a byte was written.
+ *
+ * <p>Once an attempt was given up without a sign of an answer, the connections that are open to its upstream are not used
+ * for new attempts: what made one of them silent has probably made the others silent as well, and each would cost another
+ * request its attempt.
  */
 public final class AttemptSender {
     private final HttpClient kept;
@@ -38,22 +42,23 @@
     private final Executor traffic;
     private final Map<AttemptId, Sending> live = new ConcurrentHashMap<>();
 
+    private record Sent(HttpClient client, Request request, AttemptListener listener) {}
+
     /** An attempt on its way out, which may be given up before its request exists. */
     private static final class Sending {
-        private Request request;
+        private Optional<Sent> sent = Optional.empty();
         private boolean cancelled;
 
         /** Gives the attempt its request; false if it was given up before. */
-        private synchronized boolean begin(Request made) {
-            request = made;
+        private synchronized boolean begin(Sent made) {
+            sent = Optional.of(made);
             return !cancelled;
         }
 
-        private synchronized void cancel() {
+        /** Gives the attempt up; what was sent for it, if anything was. */
+        private synchronized Optional<Sent> cancel() {
             cancelled = true;
-            if (request != null) {
-                request.abort(new CancellationException("given up"));
-            }
+            return sent;
         }
     }
 
@@ -61,7 +66,7 @@
      * Sends over the given clients.
      *
      * @param kept keeps connections for idempotent work
-     * @param fresh opens a connection for each call that must happen once
+     * @param fresh opens a connection for each call that may not use an open one
      * @param exchanges where a generating stage's tokens go
      * @param events takes progress and ends
      * @param clock tells whether an attempt's right to start has run out
@@ -96,14 +101,15 @@
             events.accept(new Event.AttemptEnded(attempt.id(), new AttemptEnd.NotStarted()));
             return;
         }
-        Request request = request(attempt, caller.get());
-        if (!sending.begin(request)) {
+        HttpClient client = attempt.onNewConnection() ? fresh : kept;
+        Request request = request(client, attempt, caller.get());
+        AttemptListener listener =
+                new AttemptListener(attempt, reader(attempt, caller.get()), clock, events, this::forget);
+        if (!sending.begin(new Sent(client, request, listener))) {
             forget(attempt.id());
             events.accept(new Event.AttemptEnded(attempt.id(), new AttemptEnd.NotStarted()));
             return;
         }
-        AttemptListener listener =
-                new AttemptListener(attempt, reader(attempt, caller.get()), clock, events, this::forget);
         request.onRequestBegin(listener::onBegin)
                 .onResponseBegin(listener::onResponse)
                 .onResponseContent(listener::onContent)
@@ -113,9 +119,20 @@
     /** Gives up an attempt: its connection is closed. */
     public void cancel(AttemptId attempt) {
         Sending sending = live.get(attempt);
-        if (sending != null) {
-            sending.cancel();
+        Optional<Sent> begun = sending == null ? Optional.empty() : sending.cancel();
+        if (begun.isEmpty()) {
+            return;
+        }
+        Sent sent = begun.get();
+        if (!sent.listener().answered()) {
+            leaveConnections(sent);
         }
+        sent.request().abort(new CancellationException("given up"));
+    }
+
+    /** Requests that run on the connections go on; those that are idle close at their idle timeout. */
+    private static void leaveConnections(Sent sent) {
+        sent.client().removeDestination(sent.client().resolveDestination(sent.request()));
     }
 
     private void forget(AttemptId attempt) {
@@ -129,8 +146,7 @@
         };
     }
 
-    private Request request(Attempt attempt, CallerExchange caller) {
-        HttpClient client = attempt.key().isPresent() ? fresh : kept;
+    private static Request request(HttpClient client, Attempt attempt, CallerExchange caller) {
         Request request = client.newRequest(
                         attempt.upstream().host(), attempt.upstream().port())
                 .method(HttpMethod.POST)
@@ -141,7 +157,7 @@
                     headers.put("Wagtaillug-Priority", Integer.toString(attempt.priority()));
                 })
                 .body(new BytesRequestContent("application/json", body(attempt, caller)));
-        if (attempt.key().isPresent()) {
+        if (attempt.onNewConnection()) {
             request.headers(headers -> headers.put(HttpHeader.CONNECTION, "close"));
         }
         return request;
