--- /dev/null
+++ b/wagtaillug-examples/src/main/java/org/wagtaillug/examples/package-info.java
@@ -0,0 +1,2 @@
+/** Short programs that show the core and the settings in use. */
+package org.wagtaillug.examples;
