A node uses as many upstreams of a pool as it wants attempts, four at least

Cause: at 340 nodes each node renewed allowances of 16 upstreams in each of eight pools, though six of them have two attempts at once. Ruled out: probes, which are 8 a period at any size. Change: four upstreams, or as many as there are attempts wanted, sixteen at most.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantHolder.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantHolder.java
@@ -46,6 +46,9 @@
     /** How many upstreams of a pool a node uses at most; with fewer in the pool it uses all. */
     public static final int POOL_FAN_OUT = 16;
 
+    /** The fewest upstreams of a pool that a node with any demand uses, so that it has a choice. */
+    static final int SMALLEST_FAN_OUT = 4;
+
     /** How long an owner may leave asks unanswered before a warm upstream is used on a fixed share. */
     public static final Duration OWNER_SILENCE = Duration.ofMillis(1500);
 
@@ -161,7 +164,7 @@
             }
             List<VmId> used = new ArrayList<>();
             for (VmId id : pool.getValue()) {
-                if (used.size() == POOL_FAN_OUT) {
+                if (used.size() == fanOut(count)) {
                     break;
                 }
                 if (open(held.get(id))) {
@@ -174,6 +177,11 @@
         }
     }
 
+    /** Few attempts are spread over few upstreams: each upstream used costs messages to its owner. */
+    private static int fanOut(int count) {
+        return Math.min(POOL_FAN_OUT, Math.max(SMALLEST_FAN_OUT, count));
+    }
+
     private void collect(
             HeldUpstream upstream, Map<NodeId, List<GrantDemand>> demands, Set<NodeId> waitingForCold, Instant now) {
         Optional<NodeId> owner = ownership.ownerOf(upstream.vm());
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantOwnerTest.java
@@ -270,18 +270,40 @@
         return Optional.of(new LoadReport(start, now, 0, 0, 8, Optional.empty(), 0, 0));
     }
 
-    /** With a hundred servers in a pool and as many nodes, asks of everybody for everything would fill the network. */
+    /** A pool of which little is wanted is asked little for: each upstream used costs its owner messages twice a second. */
     @Test
-    void asksForAtMostSixteenUpstreamsOfAPool() {
+    void asksForFewUpstreamsWhenLittleIsWanted() {
+        assertThat(upstreamsAskedFor(1)).isEqualTo(GrantHolder.SMALLEST_FAN_OUT);
+        assertThat(upstreamsAskedFor(9)).isEqualTo(9);
+    }
+
+    private int upstreamsAskedFor(int wanted) {
+        FakeOwnership view = new FakeOwnership(HOLDER);
+        view.owner = Optional.of(ownership.self());
+        GrantHolder holder = new GrantHolder(view, configuration, new GrantOwner(view, configuration));
+        holder.onVmList(rerankers(40), now);
+        holder.want(POOL, wanted);
+        holder.onTick(now, effects);
+        Effect.SendToPeer message = (Effect.SendToPeer) effects.drain().getFirst();
+        return ((GrantAsk) message.message()).demands().size();
+    }
+
+    private static List<Vm> rerankers(int count) {
         List<Vm> vms = new ArrayList<>();
-        for (int i = 0; i < 40; i++) {
+        for (int i = 0; i < count; i++) {
             VmId id = new VmId("rerank-" + i);
             vms.add(new Vm(id, Optional.of(POOL), new DomainId("a"), new RegionId("r"), "127.0.0.1", 1, false));
         }
+        return vms;
+    }
+
+    /** With a hundred servers in a pool and as many nodes, asks of everybody for everything would fill the network. */
+    @Test
+    void asksForAtMostSixteenUpstreamsOfAPool() {
         FakeOwnership view = new FakeOwnership(HOLDER);
         view.owner = Optional.of(ownership.self());
         GrantHolder holder = new GrantHolder(view, configuration, new GrantOwner(view, configuration));
-        holder.onVmList(vms, now);
+        holder.onVmList(rerankers(40), now);
         holder.onTick(now, effects);
         assertThat(effects.drain()).isEmpty();
         holder.want(POOL, 100);
