A seed that answered is the member it turns out to be; a node started in an outage is known red

A node that started while the log was down heard nobody from the moment that it learnt the roster until its next probes were answered, and refused requests as cut off in between. The test of such a node stays red for another cause: nobody grants while the log is down, and it has never seen an upstream warm.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Watch.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Watch.java
@@ -16,11 +16,12 @@
     private static final int REMEMBERED_PROBES = 8;
 
     private final VmId vm;
-    private final Optional<NodeId> node;
+    private Optional<NodeId> node;
     private final Deque<SentProbe> probes = new ArrayDeque<>();
     private int rank;
     private Instant silentSince;
     private Optional<Instant> heardAt = Optional.empty();
+    private Optional<NodeId> heardFrom = Optional.empty();
     private Optional<ProbeReply> last = Optional.empty();
     private Optional<Instant> tailKnownAt = Optional.empty();
     private Optional<Instant> removalAskedAt = Optional.empty();
@@ -55,6 +56,19 @@
         return node;
     }
 
+    /**
+     * Turns the watch of a seed into that of a member, if it was that run that answered. Without it a node that starts
+     * while the log is down hears nobody from the moment that it learns the roster until the next probes are answered, and
+     * takes itself to be cut off.
+     */
+    boolean identify(Optional<NodeId> member) {
+        if (node.isPresent() || member.isEmpty() || !heardFrom.equals(member)) {
+            return false;
+        }
+        node = member;
+        return true;
+    }
+
     int rank() {
         return rank;
     }
@@ -108,6 +122,7 @@
             sent.remove();
             silentSince = now;
             heardAt = Optional.of(now);
+            heardFrom = Optional.of(sender);
             last = Optional.of(reply);
             tailKnownAt = reply.tailAge().filter(age -> !age.isNegative()).map(age -> probe.sentAt()
                     .minus(age));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/WatchList.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/WatchList.java
@@ -57,7 +57,7 @@
         // A seed is known by its VM only; its join is not on record.
         Optional<NodeId> node = peer.joined() == 0 ? Optional.empty() : Optional.of(peer.node());
         Watch known = watches.get(peer.node().vm());
-        if (known != null && known.node().equals(node)) {
+        if (known != null && (known.node().equals(node) || known.identify(node))) {
             known.rank(rank);
             return known;
         }
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/process/Load.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/process/Load.java
@@ -14,12 +14,20 @@
 /** Drafts sent without a pause: each node has callers that send the next when the last is answered. */
 final class Load implements AutoCloseable {
     private final ExecutorService callers = Executors.newCachedThreadPool();
-    private final Queue<Answer> failed = new ConcurrentLinkedQueue<>();
+    private final Queue<Failed> failed = new ConcurrentLinkedQueue<>();
     private final AtomicLong served = new AtomicLong();
     private volatile boolean ending;
 
     private Load() {}
 
+    /**
+     * A draft that was not served.
+     *
+     * @param vm the node that was asked
+     * @param answer what it said
+     */
+    record Failed(String vm, Answer answer) {}
+
     static Load start(List<NodeProcess> nodes, int callersEach) {
         Load load = new Load();
         for (NodeProcess node : nodes) {
@@ -37,7 +45,7 @@
                 served.incrementAndGet();
                 continue;
             }
-            failed.add(answer);
+            failed.add(new Failed(node.vm(), answer));
         }
     }
 
@@ -48,7 +56,7 @@
     }
 
     /** Lets the last callers get their answer and gives what was not served. */
-    List<Answer> end() throws InterruptedException {
+    List<Failed> end() throws InterruptedException {
         ending = true;
         callers.shutdown();
         assertThat(callers.awaitTermination(Waiting.BOUND.toSeconds(), TimeUnit.SECONDS))
