A node that starts during a log outage learns from the owners what is warm

Cause: while the log is down nobody may grant, and a node falls back on a fixed share only of an upstream that it knows to be warm. A node that has just started knows none, said that it was ready and served nothing until the log was back; and one that had not used an upstream for two seconds forgot since when nobody granted there, so that seldom used pools starved. Ruled out: standing and roster, which the node has from its peers. Change: an owner that may not grant still says whether its upstream is warm, and the holder takes that word.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantOwner.java
@@ -196,12 +196,15 @@
     private GrantOffer offer(Vm vm, GrantDemand demand, NodeId holder, boolean member, long sequence, Instant now) {
         UpstreamAccount account = accounts.get(vm.id());
         PoolContract contract = contract(account);
-        if (!member || !open(vm)) {
+        if (!open(vm)) {
             return account.nothing(demand, Timing.LONGEST_GRANT, contract, now);
         }
         if (!noteRight(vm, account, now)) {
             return account.nothing(demand, Duration.ZERO, contract, now);
         }
+        if (!member) {
+            return account.nothing(demand, Timing.LONGEST_GRANT, contract, now);
+        }
         return account.offer(demand, holder, sequence, contract, now);
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/HeldUpstream.java
@@ -159,6 +159,12 @@
         allowed = offer.allowed();
         expires = sent.plus(offer.lifetime());
         if (offer.lifetime().isZero()) {
+            if (!offer.cold() && !barred) {
+                // An owner that may not grant, since the log is down, still knows what its upstream bears. A node that
+                // starts meanwhile has no other way to learn it, and would serve nothing until the log is back.
+                cold = false;
+                knownWarm = sent;
+            }
             unserved(sent, now);
             return allowed < before;
         }
