--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantHolderTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantHolderTest.java
@@ -78,6 +78,33 @@
         assertThat(holder.available(ID, START.plusMillis(230))).isZero();
     }
 
+    /**
+     * The log is down and nobody may grant. A node that has just started, or that has not used a pool for a while, wants it:
+     * without the owner's word that it is warm the pool would be out of reach until the log is back.
+     */
+    @Test
+    void takesTheOwnersWordForWarmWhileNobodyMayGrant() {
+        Instant later = wordOfAnOwnerThatMayNotGrant(false);
+        assertThat(holder.available(ID, later)).isPositive();
+    }
+
+    @Test
+    void getsNothingOfAColdUpstreamWhileNobodyMayGrant() {
+        Instant later = wordOfAnOwnerThatMayNotGrant(true);
+        assertThat(holder.available(ID, later)).isZero();
+    }
+
+    private Instant wordOfAnOwnerThatMayNotGrant(boolean cold) {
+        GrantOffer offer = new GrantOffer(ID, 0, Duration.ZERO, cold, Optional.empty());
+        Instant now = START;
+        for (int round = 0; round < 4; round++) {
+            GrantAsk ask = asked(OWNER, now);
+            holder.onReply(OWNER, new GrantReply(ask.sequence(), List.of(offer)), now, effects);
+            now = now.plusMillis(500);
+        }
+        return now;
+    }
+
     /** An owner that leaves an upstream out of a reply takes it for handed back once that reply is acknowledged. */
     @Test
     void givesUpWhatAReplyLeavesOut() {
