What must happen once is not cut short at ten seconds

Cause: the limit that owners count on for holders that they hear nothing of was put on every attempt; a booking on a slow ledger was told 'unknown' at 10 s though its deadline was 60 s and it ended well. Ruled out: the owners' count, which a live holder keeps right by reporting.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -42,7 +42,11 @@
  * sent to one upstream, after the claim of its key was won, and never again after a byte may have left.
  */
 public final class Dispatcher {
-    /** Owners count on it that no attempt outlives this; see {@link GrantOwner#LONGEST_ATTEMPT}. */
+    /**
+     * Owners that hear nothing of a holder count on it that no attempt outlives this; see {@link
+     * GrantOwner#LONGEST_ATTEMPT}. What must happen once is not cut short for it: its caller would be told "unknown" of a
+     * call that is about to end well.
+     */
     private static final Duration LONGEST_ATTEMPT = GrantOwner.LONGEST_ATTEMPT;
 
     private static final double HEDGE_QUANTILE = 0.95;
@@ -435,7 +439,7 @@
 
     private void start(RequestFlow flow, Vm upstream, Choice choice, String kind, Instant now, Effects effects) {
         Stage stage = flow.stage();
-        Instant stageEnd = earlier(now.plus(stage.timeout()), now.plus(LONGEST_ATTEMPT));
+        Instant stageEnd = now.plus(flow.idempotent() ? shorter(stage.timeout(), LONGEST_ATTEMPT) : stage.timeout());
         boolean untilDeadline = flow.idempotent() && flow.deadline().isBefore(stageEnd);
         Instant startBefore = earlier(upstreams.startBefore(upstream.id(), now), flow.deadline());
         Attempt attempt = new Attempt(
@@ -607,6 +611,10 @@
         return Duration.between(now, flow.deadline()).toMillis();
     }
 
+    private static Duration shorter(Duration left, Duration right) {
+        return left.compareTo(right) <= 0 ? left : right;
+    }
+
     private static Instant earlier(Instant left, Instant right) {
         return left.isBefore(right) ? left : right;
     }
