--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -23,7 +23,6 @@
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.membership.Vm;
-import org.wagtaillug.node.Decision;
 import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Effects;
 import org.wagtaillug.result.Payload;
@@ -126,7 +125,7 @@
         if (admitted.isLeft()) {
             Intake.Refused refused = admitted.getLeft();
             effects.add(new Effect.AnswerRefused(request.id(), refused.templateVersion(), refused.refusal()));
-            logRefusal(request, refused.refusal(), effects);
+            effects.add(new Effect.LogDecision(DispatchDecisions.refused(request, refused.refusal())));
             return;
         }
         RequestFlow flow = admitted.get();
@@ -378,7 +377,7 @@
         forget(flow);
         effects.add(
                 new Effect.AnswerRefused(flow.request().id(), flow.template().version(), refusal));
-        logRefusal(flow.request(), refusal, effects);
+        effects.add(new Effect.LogDecision(DispatchDecisions.refused(flow.request(), refusal)));
     }
 
     private void forget(RequestFlow flow) {
@@ -456,7 +455,7 @@
         flow.live().add(live);
         attempts.put(attempt.id(), live);
         effects.add(new Effect.StartAttempt(attempt));
-        effects.add(new Effect.LogDecision(decision(kind, attempt, choice)));
+        effects.add(new Effect.LogDecision(DispatchDecisions.started(kind, attempt, choice)));
     }
 
     /**
@@ -468,30 +467,6 @@
         return !flow.idempotent() || flow.attemptsOfStage() > 1;
     }
 
-    private static Decision decision(String kind, Attempt attempt, Choice choice) {
-        Decision.Builder builder = Decision.builder(kind)
-                .field("request", attempt.id().request())
-                .field("stage", attempt.stage().id())
-                .field("attempt", attempt.id().number())
-                .field("upstream", attempt.upstream().id())
-                .field("reason", choice.reason());
-        for (String alternative : choice.alternatives()) {
-            builder.alternative(alternative);
-        }
-        return builder.build();
-    }
-
-    private static void logRefusal(Request request, Refusal refusal, Effects effects) {
-        effects.add(new Effect.LogDecision(Decision.builder("refuse")
-                .field("request", request.id())
-                .field("customer", request.customer())
-                .field("template", request.template())
-                .field("code", refusal.code().number())
-                .field("run", refusal.run().text())
-                .field("reason", refusal.message())
-                .build()));
-    }
-
     /** Lets time pass: deadlines, silent attempts, hedges, and upstreams that have room again. */
     public void onTick(Instant now, Effects effects) {
         for (RequestFlow flow : List.copyOf(flows.values())) {
@@ -643,28 +618,4 @@
         }
         return views;
     }
-
-    /**
-     * A request in flight as operators see it.
-     *
-     * @param request its id
-     * @param customer on whose behalf
-     * @param template its template
-     * @param templateVersion the version of it that it runs under
-     * @param stage the stage it is in
-     * @param state waiting, claiming or running
-     * @param attempts so far
-     * @param ageMillis since its arrival
-     * @param millisLeft to its deadline
-     */
-    public record FlowView(
-            String request,
-            String customer,
-            String template,
-            long templateVersion,
-            String stage,
-            String state,
-            int attempts,
-            long ageMillis,
-            long millisLeft) {}
 }
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/FlowView.java
@@ -0,0 +1,25 @@
+package org.wagtaillug.dispatch;
+
+/**
+ * A request in flight as operators see it.
+ *
+ * @param request its id
+ * @param customer on whose behalf
+ * @param template its template
+ * @param templateVersion the version of it that it runs under
+ * @param stage the stage it is in
+ * @param state waiting, claiming or running
+ * @param attempts so far
+ * @param ageMillis since its arrival
+ * @param millisLeft to its deadline
+ */
+public record FlowView(
+        String request,
+        String customer,
+        String template,
+        long templateVersion,
+        String stage,
+        String state,
+        int attempts,
+        long ageMillis,
+        long millisLeft) {}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
@@ -9,6 +9,7 @@
 import org.wagtaillug.configuration.ControlLog;
 import org.wagtaillug.configuration.ControlState;
 import org.wagtaillug.dispatch.Dispatcher;
+import org.wagtaillug.dispatch.FlowView;
 import org.wagtaillug.dispatch.Request;
 import org.wagtaillug.drain.Drain;
 import org.wagtaillug.grant.GrantHolder;
@@ -297,7 +298,7 @@
     }
 
     /** The requests in flight. */
-    public List<Dispatcher.FlowView> requests(Instant now) {
+    public List<FlowView> requests(Instant now) {
         return dispatcher.views(now);
     }
 }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/Views.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/Views.java
@@ -11,7 +11,7 @@
 import java.util.Optional;
 import org.wagtaillug.configuration.ControlState;
 import org.wagtaillug.daemon.Json;
-import org.wagtaillug.dispatch.Dispatcher;
+import org.wagtaillug.dispatch.FlowView;
 import org.wagtaillug.grant.GrantView;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.log.LogRecord;
@@ -165,7 +165,7 @@
     static ObjectNode requests(Node node, Instant now) {
         ObjectNode view = Json.object();
         ArrayNode requests = view.putArray("requests");
-        for (Dispatcher.FlowView flow : node.requests(now)) {
+        for (FlowView flow : node.requests(now)) {
             ObjectNode line = requests.addObject();
             line.put("request", flow.request());
             line.put("customer", flow.customer());
