One rendezvous hash

It stood three times: for owners, for placement and holders, and for prefixes. Names are hashed once and kept; a holder hashed every upstream's name at each reading of the VM list.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantHolder.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantHolder.java
@@ -17,6 +17,7 @@
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.membership.Ownership;
+import org.wagtaillug.membership.Rendezvous;
 import org.wagtaillug.membership.Vm;
 import org.wagtaillug.message.PeerMessage.GrantAsk;
 import org.wagtaillug.message.PeerMessage.GrantDemand;
@@ -24,7 +25,6 @@
 import org.wagtaillug.message.PeerMessage.GrantReply;
 import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Effects;
-import org.wagtaillug.placement.Rendezvous;
 
 /**
  * Holds the allowances of this node and says what it may start.
@@ -60,6 +60,7 @@
     private static final Duration FORMER_OWNER_REMEMBERED = Duration.ofMinutes(10);
     private static final int WARM_HEADROOM = 1;
 
+    private final Rendezvous rendezvous = new Rendezvous();
     private final Ownership ownership;
     private final Configuration configuration;
     private final GrantOwner localOwner;
@@ -98,7 +99,7 @@
         ranked.clear();
         for (Map.Entry<PoolId, List<Vm>> pool : pools.entrySet()) {
             List<VmId> order = new ArrayList<>();
-            for (Vm vm : Rendezvous.rank(ownership.self().vm().value(), pool.getValue())) {
+            for (Vm vm : rendezvous.rank(ownership.self().vm().value(), pool.getValue())) {
                 order.add(vm.id());
             }
             ranked.put(pool.getKey(), order);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Rendezvous.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Rendezvous.java
@@ -4,8 +4,13 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Rendezvous hashing: of several candidates the one with the highest score for a subject has it. When a candidate comes
@@ -25,6 +30,39 @@
         return score(hash(subject), hash(candidate));
     }
 
+    /** The VMs in the order of their scores for a subject, the highest first; equal scores in the order of their ids. */
+    public List<Vm> rank(String subject, Collection<Vm> candidates) {
+        long subjectHash = hash(subject);
+        List<Scored> scored = new ArrayList<>();
+        for (Vm vm : candidates) {
+            scored.add(new Scored(vm, score(subjectHash, hash(vm.id().value()))));
+        }
+        scored.sort(Comparator.comparingLong(Scored::score).reversed().thenComparing(each -> each.vm()
+                .id()));
+        List<Vm> ranked = new ArrayList<>();
+        for (Scored each : scored) {
+            ranked.add(each.vm());
+        }
+        return ranked;
+    }
+
+    private record Scored(Vm vm, long score) {}
+
+    /** The VM with the highest score for a subject; empty without candidates. */
+    public Optional<Vm> first(String subject, Collection<Vm> candidates) {
+        long subjectHash = hash(subject);
+        Vm first = null;
+        long highest = Long.MIN_VALUE;
+        for (Vm vm : candidates) {
+            long score = score(subjectHash, hash(vm.id().value()));
+            if (first == null || score > highest) {
+                first = vm;
+                highest = score;
+            }
+        }
+        return Optional.ofNullable(first);
+    }
+
     /** The score of a candidate for a subject whose names were hashed before. */
     static long score(long subjectHash, long candidateHash) {
         return mix(subjectHash + Long.rotateLeft(candidateHash, 1));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/placement/PlacementPlan.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/placement/PlacementPlan.java
@@ -11,6 +11,7 @@
 import org.wagtaillug.contract.PlacementContract;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Rendezvous;
 import org.wagtaillug.membership.Vm;
 
 /**
@@ -54,10 +55,11 @@
     private static void assign(
             List<PlacementContract> placements, List<Vm> engines, Map<VmId, PlacementContract> plan) {
         placements.sort(ORDER);
+        Rendezvous rendezvous = new Rendezvous();
         Map<PlacementContract, List<Vm>> ranked = new HashMap<>();
         int most = 0;
         for (PlacementContract placement : placements) {
-            ranked.put(placement, Rendezvous.rank(placement.model().value(), engines));
+            ranked.put(placement, rendezvous.rank(placement.model().value(), engines));
             most = Math.max(most, placement.copies());
         }
         for (int copy = 1; copy <= most; copy++) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/LeastCompletionPolicy.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/LeastCompletionPolicy.java
@@ -11,6 +11,7 @@
 import org.wagtaillug.health.LoadReport;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Rendezvous;
 import org.wagtaillug.membership.Vm;
 
 /**
@@ -33,6 +34,7 @@
     private static final int LOGGED_ALTERNATIVES = 4;
     private static final double TENTH_OF_MILLI = 1e5;
 
+    private final Rendezvous rendezvous = new Rendezvous();
     private final Upstreams upstreams;
     private final DomainId domain;
 
@@ -119,31 +121,11 @@
     }
 
     /** The engine on which requests with this prefix gather, so that its cache serves them all. */
-    private static Optional<VmId> prefixHome(Stage stage, String prefix, List<Vm> pool) {
+    private Optional<VmId> prefixHome(Stage stage, String prefix, List<Vm> pool) {
         if (stage.work() != StageWork.GENERATE || prefix.isEmpty()) {
             return Optional.empty();
         }
-        VmId home = null;
-        int highest = 0;
-        for (Vm vm : pool) {
-            int weight = spread(prefix.hashCode() * 31 + vm.id().hashCode());
-            if (home == null || weight > highest) {
-                home = vm.id();
-                highest = weight;
-            }
-        }
-        return Optional.ofNullable(home);
-    }
-
-    /** The finalizer of the 32-bit murmur hash: neighbouring inputs give unrelated outputs. */
-    private static int spread(int value) {
-        int mixed = value;
-        mixed ^= mixed >>> 16;
-        mixed *= 0x85ebca6b;
-        mixed ^= mixed >>> 13;
-        mixed *= 0xc2b2ae35;
-        mixed ^= mixed >>> 16;
-        return mixed;
+        return rendezvous.first(prefix, pool).map(Vm::id);
     }
 
     /** Writes a number out only if it will be logged: among 740 upstreams that is all but four times not so. */
