--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -298,7 +298,7 @@
             fail(flow, ResultCode.ATTEMPTS_FAILED, flow.lastFailure(), now, effects);
             return;
         }
-        if (!retries.spend()) {
+        if (policy.budgetsRetries() && !retries.spend()) {
             fail(flow, ResultCode.RETRY_BUDGET_SPENT, flow.lastFailure(), now, effects);
             return;
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/LeastCompletionPolicy.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/LeastCompletionPolicy.java
@@ -150,6 +150,11 @@
         return stage.attempts();
     }
 
+    @Override
+    public boolean budgetsRetries() {
+        return true;
+    }
+
     @Override
     public boolean hedges() {
         return true;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/RoundRobinPolicy.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/RoundRobinPolicy.java
@@ -38,6 +38,11 @@
         return MOST_ATTEMPTS;
     }
 
+    @Override
+    public boolean budgetsRetries() {
+        return false;
+    }
+
     @Override
     public boolean hedges() {
         return false;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/RoutingPolicy.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/RoutingPolicy.java
@@ -20,6 +20,9 @@
     /** The most attempts of one stage, hedges included. */
     int mostAttempts(Stage stage);
 
+    /** Whether retries are held to a share of the requests. */
+    boolean budgetsRetries();
+
     /** Whether straggling attempts get a rival. */
     boolean hedges();
 
