--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/Maker.java
@@ -0,0 +1,97 @@
+package org.wagtaillug.batch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.wagtaillug.directory.Listing;
+
+/** What the filling node knows of one stage server. */
+final class Maker {
+    /** Weight of the newest call; four calls, about a second, turn the figure. */
+    private static final double NEWEST_WEIGHT = 0.4;
+
+    /** A server that answers that it is full is asked again after about a tenth of a call. */
+    private static final Duration PAUSE_WHEN_FULL = Duration.ofMillis(30);
+
+    /** Results that find no room: it takes a release to change that. */
+    private static final Duration PAUSE_WITHOUT_ROOM = Duration.ofMillis(100);
+
+    /** After a call that broke; doubled for each further one. */
+    private static final Duration PAUSE_AFTER_FAULT = Duration.ofMillis(500);
+
+    private static final int MOST_DOUBLINGS = 3;
+
+    private final HeldResults results = new HeldResults();
+    private final List<String> released = new ArrayList<>();
+    private Listing listing;
+    private int calls;
+    private int faults;
+    private double slowness = 1;
+    private Instant pausedUntil = Instant.EPOCH;
+
+    Maker(Listing listing) {
+        this.listing = listing;
+    }
+
+    Listing listing() {
+        return listing;
+    }
+
+    /** Takes the newest listing; a server that has started anew holds nothing. */
+    Maker refreshed(Listing newest) {
+        if (newest.incarnation() != listing.incarnation()) {
+            return new Maker(newest);
+        }
+        listing = newest;
+        return this;
+    }
+
+    HeldResults results() {
+        return results;
+    }
+
+    /** Handles to release at the server. */
+    List<String> released() {
+        return released;
+    }
+
+    /** How many times longer its calls take than its contract says, lately. */
+    double slowness() {
+        return slowness;
+    }
+
+    boolean free(int slots, Instant now) {
+        return calls < slots && !now.isBefore(pausedUntil);
+    }
+
+    boolean paused(Instant now) {
+        return now.isBefore(pausedUntil);
+    }
+
+    void began() {
+        calls++;
+    }
+
+    void answered(Duration took, Duration expected) {
+        calls--;
+        faults = 0;
+        double ratio = (double) took.toNanos() / Math.max(1, expected.toNanos());
+        slowness = slowness * (1 - NEWEST_WEIGHT) + ratio * NEWEST_WEIGHT;
+    }
+
+    void full(Instant now) {
+        calls--;
+        pausedUntil = now.plus(PAUSE_WHEN_FULL);
+    }
+
+    void broke(Instant now) {
+        calls--;
+        pausedUntil = now.plus(PAUSE_AFTER_FAULT.multipliedBy(1L << Math.min(MOST_DOUBLINGS, faults)));
+        faults++;
+    }
+
+    void withoutRoom(Instant now) {
+        pausedUntil = now.plus(PAUSE_WITHOUT_ROOM);
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceFiller.java
@@ -0,0 +1,389 @@
+package org.wagtaillug.batch;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wagtaillug.batch.PieceCallEnd.PieceAnswer;
+import org.wagtaillug.directory.Upstream;
+import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.node.Decision;
+import org.wagtaillug.route.PieceContract;
+
+/**
+ * Fills the calls of stage pools from what all nodes order here.
+ *
+ * <p>A call costs 150 ms before its first piece, so calls of one piece each would need more than twice the server time that
+ * a pool has; one queue for a pool fills them, and leaves no server idle while another has a queue. A call starts as soon
+ * as a server has a free slot: what arrives meanwhile fills the next one.
+ */
+public final class PieceFiller {
+    /** Outcomes are told again for this long to a node that asks again because the first word was lost. */
+    private static final Duration OUTCOMES_KEPT = Duration.ofSeconds(5);
+
+    /** An order whose calls fail this often is given up: each piece may be worked on twice. */
+    private static final int MOST_FAULTS = 2;
+
+    /** A call is given up after this many times what it should take, for servers that have turned slow. */
+    private static final int PATIENCE = 6;
+
+    /** How long releases are collected before a server is told. */
+    private static final Duration RELEASE_PAUSE = Duration.ofMillis(20);
+
+    /** Never tell a caller to come back sooner. */
+    private static final Duration SHORTEST_RETRY = Duration.ofMillis(200);
+
+    private final UpstreamDirectory directory;
+    private final PieceOutput output;
+    private final Map<PoolId, PieceQueue> queues = new HashMap<>();
+    private final Map<PoolId, PieceContract> contracts = new HashMap<>();
+    private final Map<VmId, Maker> makers = new HashMap<>();
+    private final Map<OrderId, OrderState> orders = new HashMap<>();
+    private final Map<OrderId, Told> told = new LinkedHashMap<>();
+    private final Map<Long, Calling> calls = new HashMap<>();
+    private long lastCall;
+    private Instant releaseDue = Instant.EPOCH;
+
+    private record Told(PieceOutcome outcome, Instant at) {}
+
+    private record Calling(PieceCall call, List<PieceQueue.Waiting> pieces, Maker maker, Instant startedAt) {
+        PoolId pool() {
+            return call.upstream().pool();
+        }
+    }
+
+    /** Fills calls to the servers of a directory. */
+    public PieceFiller(UpstreamDirectory directory, PieceOutput output) {
+        this.directory = directory;
+        this.output = output;
+    }
+
+    /** Whether nothing waits and nothing is under way. */
+    public boolean idle() {
+        return calls.isEmpty() && orders.isEmpty();
+    }
+
+    /** A node wants pieces. It may ask again for the same ones when it has heard nothing. */
+    public void onOrder(PieceOrder order, PieceContract contract, Instant now) {
+        if (orders.containsKey(order.id())) {
+            return;
+        }
+        Told before = told.get(order.id());
+        if (before != null) {
+            output.outcome(order, before.outcome());
+            return;
+        }
+        contracts.put(order.pool(), contract);
+        OrderState state = new OrderState(order, contract);
+        Optional<PieceOutcome> refusal = refusal(order, contract, now);
+        if (refusal.isPresent()) {
+            tell(state, refusal.get(), now);
+            return;
+        }
+        orders.put(order.id(), state);
+        PieceQueue queue = queues.computeIfAbsent(order.pool(), pool -> new PieceQueue());
+        for (int piece = 0; piece < order.pieces(); piece++) {
+            queue.add(new PieceQueue.Waiting(state, piece));
+        }
+        dispatch(order.pool(), now);
+    }
+
+    /** What is known not to be servable is refused at once. */
+    private Optional<PieceOutcome> refusal(PieceOrder order, PieceContract contract, Instant now) {
+        List<Maker> usable = usableMakers(order.pool());
+        if (usable.isEmpty()) {
+            return Optional.of(new PieceOutcome.NotMade(PieceOutcome.Reason.NO_UPSTREAM, SHORTEST_RETRY));
+        }
+        Duration wait = expectedWait(order.pool(), contract, usable);
+        Instant made = now.plus(wait).plus(contract.callOf(Math.min(order.pieces(), contract.batch())));
+        if (!made.isAfter(order.urgency().deadline())) {
+            return Optional.empty();
+        }
+        Duration retryAfter = wait.compareTo(SHORTEST_RETRY) < 0 ? SHORTEST_RETRY : wait;
+        return Optional.of(new PieceOutcome.NotMade(PieceOutcome.Reason.OVERLOADED, retryAfter));
+    }
+
+    /** How long what waits already keeps the pool busy: its pieces over what full calls get done. */
+    private Duration expectedWait(PoolId pool, PieceContract contract, List<Maker> usable) {
+        PieceQueue queue = queues.get(pool);
+        if (queue == null || queue.isEmpty()) {
+            return Duration.ZERO;
+        }
+        double piecesPerNano = 0;
+        double nanosPerCall = contract.callOf(contract.batch()).toNanos();
+        for (Maker maker : usable) {
+            piecesPerNano += contract.slots() * contract.batch() / (nanosPerCall * Math.max(1, maker.slowness()));
+        }
+        return Duration.ofNanos(Math.round(queue.size() / piecesPerNano));
+    }
+
+    /** The node does not want the pieces any more: the request has ended. */
+    public void onWithdrawn(OrderId id, Instant now) {
+        OrderState state = orders.remove(id);
+        if (state == null) {
+            return;
+        }
+        state.end();
+        queues.get(state.order().pool()).dropEnded();
+        releaseAll(state.results());
+        told.put(id, new Told(new PieceOutcome.NotMade(PieceOutcome.Reason.LATE, Duration.ZERO), now));
+    }
+
+    /** Results are no longer needed. */
+    public void onReleased(List<StepResult> results) {
+        releaseAll(results);
+    }
+
+    private void releaseAll(List<StepResult> results) {
+        for (StepResult result : results) {
+            maker(result.maker()).ifPresent(maker -> {
+                maker.results().release(result.handle());
+                maker.released().add(result.handle());
+            });
+        }
+    }
+
+    private Optional<Maker> maker(VmId id) {
+        Optional<Upstream> upstream = directory.find(id);
+        if (upstream.isEmpty()) {
+            makers.remove(id);
+            return Optional.empty();
+        }
+        Maker known = makers.get(id);
+        Maker current = known == null
+                ? new Maker(upstream.get().listing())
+                : known.refreshed(upstream.get().listing());
+        makers.put(id, current);
+        return Optional.of(current);
+    }
+
+    private List<Maker> usableMakers(PoolId pool) {
+        List<Maker> usable = new ArrayList<>();
+        for (Upstream upstream : directory.usable(pool)) {
+            maker(upstream.id()).ifPresent(usable::add);
+        }
+        return usable;
+    }
+
+    private void dispatch(PoolId pool, Instant now) {
+        PieceQueue queue = queues.get(pool);
+        PieceContract contract = contracts.get(pool);
+        if (queue == null || queue.isEmpty()) {
+            return;
+        }
+        List<Maker> usable = usableMakers(pool);
+        usable.sort(Comparator.comparingDouble(Maker::slowness));
+        for (Maker maker : usable) {
+            while (maker.free(contract.slots(), now) && worthUsing(maker, usable, queue, contract)) {
+                if (!call(maker, queue, contract, now)) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /**
+     * A server that has turned several times slower would hold the pieces of a call past their aim while the others could
+     * take them next: it gets work only while more waits than the fastest one does in the time that it would take.
+     */
+    private static boolean worthUsing(Maker maker, List<Maker> fastestFirst, PieceQueue queue, PieceContract contract) {
+        double fastest = Math.max(1, fastestFirst.getFirst().slowness());
+        double callsMeanwhile = Math.max(1, maker.slowness()) / fastest - 1;
+        return queue.size() > (callsMeanwhile - 1) * contract.batch();
+    }
+
+    private boolean call(Maker maker, PieceQueue queue, PieceContract contract, Instant now) {
+        maker.results().expire(now);
+        long room = contract.roomBytes() - maker.results().used();
+        List<PieceQueue.Waiting> pieces = queue.take(contract.batch(), room, now);
+        if (pieces.isEmpty()) {
+            return false;
+        }
+        long bytes = 0;
+        List<PieceCall.Item> items = new ArrayList<>();
+        for (PieceQueue.Waiting piece : pieces) {
+            PieceOrder order = piece.order();
+            bytes += order.resultBytes();
+            Duration left = Duration.between(now, order.urgency().deadline());
+            items.add(new PieceCall.Item(
+                    order.request(), order.step(), piece.piece(), left, order.key(), order.inputs()));
+        }
+        maker.results().reserve(bytes);
+        maker.began();
+        lastCall++;
+        Duration timeout = contract.callOf(pieces.size()).multipliedBy(PATIENCE);
+        PieceCall call = new PieceCall(lastCall, maker.listing(), items, timeout);
+        calls.put(lastCall, new Calling(call, pieces, maker, now));
+        output.call(call);
+        output.decided(Decision.builder("piece_call")
+                .field("call", lastCall)
+                .field("upstream", maker.listing().id())
+                .field("pool", maker.listing().pool())
+                .field("pieces", pieces.size())
+                .field("first_request", pieces.getFirst().order().request())
+                .field("still_waiting", queue.size())
+                .field("room_bytes", room)
+                .build());
+        return true;
+    }
+
+    /** A call has ended. */
+    public void onCallEnded(long number, PieceCallEnd end, Instant now) {
+        Calling calling = calls.remove(number);
+        if (calling == null) {
+            return;
+        }
+        for (PieceQueue.Waiting piece : calling.pieces()) {
+            calling.maker().results().unreserve(piece.order().resultBytes());
+        }
+        switch (end) {
+            case PieceCallEnd.Answered answered -> onAnswered(calling, answered.answers(), now);
+            case PieceCallEnd.NotRun ignored -> {
+                calling.maker().full(now);
+                calling.pieces().forEach(this::wait);
+            }
+            case PieceCallEnd.Broken broken -> onBroken(calling, broken.reason(), now);
+        }
+        dispatch(calling.pool(), now);
+    }
+
+    private void wait(PieceQueue.Waiting piece) {
+        if (!piece.state().ended()) {
+            queues.get(piece.order().pool()).add(piece);
+        }
+    }
+
+    private void onBroken(Calling calling, String reason, Instant now) {
+        calling.maker().broke(now);
+        output.decided(Decision.builder("piece_call_broken")
+                .field("call", calling.call().number())
+                .field("upstream", calling.call().upstream().id())
+                .field("pieces", calling.pieces().size())
+                .field("reason", reason)
+                .build());
+        for (PieceQueue.Waiting piece : calling.pieces()) {
+            again(piece, now);
+        }
+    }
+
+    /** Another server may make the piece, once more. */
+    private void again(PieceQueue.Waiting piece, Instant now) {
+        if (piece.state().ended()) {
+            return;
+        }
+        if (piece.state().failed() > MOST_FAULTS * piece.order().pieces()) {
+            fail(piece.state(), PieceOutcome.Reason.FAILED, now);
+            return;
+        }
+        wait(piece);
+    }
+
+    private void onAnswered(Calling calling, List<PieceAnswer> answers, Instant now) {
+        Duration expected = calling.pieces()
+                .getFirst()
+                .state()
+                .contract()
+                .callOf(calling.pieces().size());
+        calling.maker().answered(Duration.between(calling.startedAt(), now), expected);
+        for (int place = 0; place < calling.pieces().size(); place++) {
+            PieceQueue.Waiting piece = calling.pieces().get(place);
+            PieceAnswer answer = place < answers.size() ? answers.get(place) : new PieceAnswer.Failed();
+            switch (answer) {
+                case PieceAnswer.Made made -> onMade(calling, piece, made.handle(), now);
+                case PieceAnswer.Late ignored -> fail(piece.state(), PieceOutcome.Reason.LATE, now);
+                case PieceAnswer.InputsGone ignored -> fail(piece.state(), PieceOutcome.Reason.INPUTS_GONE, now);
+                case PieceAnswer.NoRoom ignored -> {
+                    calling.maker().withoutRoom(now);
+                    again(piece, now);
+                }
+                case PieceAnswer.Failed ignored -> again(piece, now);
+            }
+        }
+    }
+
+    private void onMade(Calling calling, PieceQueue.Waiting piece, String handle, Instant now) {
+        OrderState state = piece.state();
+        StepResult result = new StepResult(handle, calling.call().upstream().id());
+        if (state.ended()) {
+            releaseAll(List.of(result));
+            return;
+        }
+        Duration lifetime = state.contract().resultLifetime();
+        calling.maker().results().hold(handle, state.order().resultBytes(), now, lifetime);
+        if (state.made(piece.piece(), result)) {
+            tell(state, new PieceOutcome.Made(state.results()), now);
+        }
+    }
+
+    private void fail(OrderState state, PieceOutcome.Reason reason, Instant now) {
+        if (state.ended()) {
+            return;
+        }
+        releaseAll(state.results());
+        tell(state, new PieceOutcome.NotMade(reason, Duration.ZERO), now);
+    }
+
+    private void tell(OrderState state, PieceOutcome outcome, Instant now) {
+        state.end();
+        orders.remove(state.order().id());
+        PieceQueue queue = queues.get(state.order().pool());
+        if (queue != null && !(outcome instanceof PieceOutcome.Made)) {
+            queue.dropEnded();
+        }
+        told.put(state.order().id(), new Told(outcome, now));
+        output.outcome(state.order(), outcome);
+    }
+
+    /** Gives up what has become hopeless, tries paused servers again and sends releases. */
+    public void onTick(Instant now) {
+        for (Map.Entry<PoolId, PieceQueue> entry : queues.entrySet()) {
+            for (OrderState state : entry.getValue().hopeless(now)) {
+                fail(state, PieceOutcome.Reason.LATE, now);
+            }
+            dispatch(entry.getKey(), now);
+        }
+        forgetTold(now);
+        sendReleases(now);
+    }
+
+    private void forgetTold(Instant now) {
+        for (Iterator<Told> each = told.values().iterator(); each.hasNext(); ) {
+            if (now.isBefore(each.next().at().plus(OUTCOMES_KEPT))) {
+                return;
+            }
+            each.remove();
+        }
+    }
+
+    private void sendReleases(Instant now) {
+        if (now.isBefore(releaseDue)) {
+            return;
+        }
+        releaseDue = now.plus(RELEASE_PAUSE);
+        for (Maker maker : makers.values()) {
+            if (!maker.released().isEmpty()) {
+                output.release(maker.listing(), List.copyOf(maker.released()));
+                maker.released().clear();
+            }
+        }
+    }
+
+    /** What waits for a pool, for the metrics. */
+    public int waiting(PoolId pool) {
+        PieceQueue queue = queues.get(pool);
+        return queue == null ? 0 : queue.size();
+    }
+
+    /** The pools that pieces were ordered of. */
+    public List<PoolId> pools() {
+        return List.copyOf(queues.keySet());
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceOutput.java
@@ -0,0 +1,20 @@
+package org.wagtaillug.batch;
+
+import java.util.List;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.node.Decision;
+
+/** Takes what a {@link PieceFiller} wants done. */
+public interface PieceOutput {
+    /** Makes a call; its end comes back through {@link PieceFiller#onCallEnded}. */
+    void call(PieceCall call);
+
+    /** Tells the node that wants the pieces what became of them. */
+    void outcome(PieceOrder order, PieceOutcome outcome);
+
+    /** Tells a server that results are no longer needed. */
+    void release(Listing maker, List<String> handles);
+
+    /** Writes a decision to the log. */
+    void decided(Decision decision);
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedReader.java
@@ -0,0 +1,125 @@
+package org.wagtaillug.feed;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Decides when one feed is read: the newest record of each key first, then what follows. One read is under way at a time.
+ */
+public final class FeedReader {
+    /** After a failed read; short against the two seconds in which a change must be in force, long against a refusal. */
+    private static final Duration PAUSE_AFTER_FAILURE = Duration.ofMillis(200);
+
+    private final FeedName name;
+    private final Feed feed;
+    private final List<FeedRecord> listed = new ArrayList<>();
+    private boolean listing = true;
+    private Optional<String> listedThrough = Optional.empty();
+    private long listedFrom = -1;
+    private boolean underWay;
+    private Instant due = Instant.EPOCH;
+    private Optional<Instant> lastAnswer = Optional.empty();
+    private Optional<Instant> outage = Optional.empty();
+
+    /** What to read next. */
+    public sealed interface Read {
+        /**
+         * A page of the newest record of each key.
+         *
+         * @param after the last key of the page before; empty for the first page
+         */
+        record Newest(Optional<String> after) implements Read {}
+
+        /**
+         * The records from an offset.
+         *
+         * @param from the first offset
+         * @param longestWait how long to wait for a record
+         */
+        record From(long from, Duration longestWait) implements Read {}
+    }
+
+    /** Reads nothing yet. */
+    public FeedReader(FeedName name, Feed feed) {
+        this.name = name;
+        this.feed = feed;
+    }
+
+    /** The read to make now; empty while one is under way or none is due. */
+    public Optional<Read> next(Instant now) {
+        if (underWay || now.isBefore(due)) {
+            return Optional.empty();
+        }
+        underWay = true;
+        if (listing) {
+            return Optional.of(new Read.Newest(listedThrough));
+        }
+        return Optional.of(new Read.From(feed.next(), name.longestWait()));
+    }
+
+    /** A page of newest records came; the records that changed something. */
+    public List<FeedRecord> onListed(List<FeedRecord> records, boolean more, long end, Instant now) {
+        answered(now);
+        listed.addAll(records);
+        // What is written while the pages are read may be in none of them: go on from where the first page ended.
+        listedFrom = listedFrom < 0 ? end : listedFrom;
+        if (more && !records.isEmpty()) {
+            listedThrough = Optional.of(records.getLast().key());
+            due = now;
+            return List.of();
+        }
+        List<FeedRecord> changed = feed.apply(new FeedBatch(listedFrom, true, listed));
+        relist(false);
+        due = now;
+        return changed;
+    }
+
+    /** Records came; those that changed something. */
+    public List<FeedRecord> onRecords(FeedBatch batch, Instant now) {
+        answered(now);
+        due = now.plus(name.pause());
+        return feed.apply(batch);
+    }
+
+    /** The records from our position are no longer kept: the newest of each key are read again. */
+    public void onForgotten(Instant now) {
+        answered(now);
+        relist(true);
+        due = now;
+    }
+
+    /** No answer, or a refusal. */
+    public void onFailed(Instant now) {
+        underWay = false;
+        due = now.plus(PAUSE_AFTER_FAILURE);
+        outage = Optional.of(now);
+        if (listing) {
+            relist(true);
+        }
+    }
+
+    private void answered(Instant now) {
+        underWay = false;
+        lastAnswer = Optional.of(now);
+    }
+
+    private void relist(boolean again) {
+        listing = again;
+        listed.clear();
+        listedThrough = Optional.empty();
+        listedFrom = -1;
+    }
+
+    /** Whether the store has not answered for a time. */
+    public boolean silent(Instant now, Duration time) {
+        return lastAnswer.isEmpty() || now.isAfter(lastAnswer.get().plus(time));
+    }
+
+    /** Whether a read failed within a time before now. */
+    public boolean failedWithin(Instant now, Duration time) {
+        return outage.isPresent() && now.isBefore(outage.get().plus(time));
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/health/UpstreamHealth.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/health/UpstreamHealth.java
@@ -65,7 +65,18 @@
      * @param ok whether the whole answer came; false for a connection that failed or fell silent
      */
     public void onEnded(Vm upstream, Duration duration, boolean ok, Instant now) {
-        Experience experience = experience(upstream.id());
+        onEnded(upstream.id(), upstream.pool(), duration, ok, now);
+    }
+
+    /**
+     * Takes in the end of an attempt.
+     *
+     * @param pool whose quantiles the duration counts for; empty for none
+     * @param duration from its start
+     * @param ok whether the whole answer came; false for a connection that failed or fell silent
+     */
+    public void onEnded(VmId upstream, Optional<PoolId> pool, Duration duration, boolean ok, Instant now) {
+        Experience experience = experience(upstream);
         experience.inFlight = Math.max(0, experience.inFlight - 1);
         if (!ok) {
             fail(experience, now);
@@ -76,10 +87,8 @@
         experience.suspendedUntil = Instant.MIN;
         experience.average = Optional.of(
                 experience.average.map(before -> blend(before, duration)).orElse(duration));
-        if (upstream.pool().isPresent()) {
-            pools.computeIfAbsent(upstream.pool().get(), id -> new LatencyWindow())
-                    .add(duration);
-        }
+        pool.ifPresent(
+                id -> pools.computeIfAbsent(id, any -> new LatencyWindow()).add(duration));
     }
 
     /** Takes in the end of an attempt that says nothing of the upstream: it was given up here. */
@@ -149,6 +158,14 @@
         return Optional.of(experience.lastProgress);
     }
 
+    /** Forgets an upstream's failures: it has started anew under its name. Attempts under way still count. */
+    public void onRestarted(VmId upstream) {
+        Experience experience = experience(upstream);
+        experience.consecutiveFailures = 0;
+        experience.suspendedUntil = Instant.MIN;
+        experience.average = Optional.empty();
+    }
+
     /** Forgets the upstreams that are not listed any more. */
     public void retain(Set<VmId> listed) {
         experiences.keySet().retainAll(listed);
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/id/RouteId.java
@@ -0,0 +1,23 @@
+package org.wagtaillug.id;
+
+/**
+ * Names a route, for example {@code r-dish-query}.
+ *
+ * @param value 1 to 128 characters, not blank
+ */
+public record RouteId(String value) implements Comparable<RouteId> {
+    /** Checks the length. */
+    public RouteId {
+        value = IdText.checked("RouteId", value);
+    }
+
+    @Override
+    public int compareTo(RouteId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/membership/Members.java
@@ -20,6 +20,7 @@
 import org.wagtaillug.message.PeerMessage.Position;
 import org.wagtaillug.message.PeerMessage.Probe;
 import org.wagtaillug.message.PeerMessage.ProbeReply;
+import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Effects;
 
@@ -264,6 +265,9 @@
             case PeerMessage.GrantReply ignored -> {
                 return false;
             }
+            case ServingMessage ignored -> {
+                return false;
+            }
         }
         return true;
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/PeerMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/PeerMessage.java
@@ -9,7 +9,14 @@
 import org.wagtaillug.log.LogRecord;
 
 /** One message between two nodes. */
-public sealed interface PeerMessage {
+public sealed interface PeerMessage
+        permits PeerMessage.Probe,
+                PeerMessage.ProbeReply,
+                PeerMessage.StateAsk,
+                PeerMessage.StateReply,
+                PeerMessage.GrantAsk,
+                PeerMessage.GrantReply,
+                ServingMessage {
     /**
      * How far a node has read the control stream and what it made of it.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/Node.java
@@ -23,6 +23,7 @@
 import org.wagtaillug.membership.Standing;
 import org.wagtaillug.membership.Vm;
 import org.wagtaillug.message.PeerMessage;
+import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.placement.Placement;
 import org.wagtaillug.result.Refusal;
 import org.wagtaillug.result.ResultCode;
@@ -178,6 +179,9 @@
             case PeerMessage.ProbeReply reply -> members.onPeerMessage(received.sender(), reply, now, effects);
             case PeerMessage.StateAsk ask -> members.onPeerMessage(received.sender(), ask, now, effects);
             case PeerMessage.StateReply reply -> members.onPeerMessage(received.sender(), reply, now, effects);
+            case ServingMessage ignored -> {
+                // Spoken between nodes that route by host and path; this node does not, and owes no answer.
+            }
         }
     }
 
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -0,0 +1,138 @@
+package org.wagtaillug.peer;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.membership.Rendezvous;
+import org.wagtaillug.message.ServingMessage.Hello;
+
+/**
+ * The other nodes, as their hellos show them.
+ *
+ * <p>Presence is a guess from silence and two nodes may guess differently; so it decides only who does work that may be
+ * done twice at a small cost, such as filling the calls of a pool.
+ */
+public final class Peers {
+    /** Three hellos in a row must be lost before a peer counts as absent. */
+    public static final Duration HELLO_PERIOD = Duration.ofMillis(400);
+
+    /** A peer that is silent for this long does no duty. */
+    public static final Duration PRESENT_FOR = Duration.ofMillis(1200);
+
+    /** An address from which nothing is heard and of which nobody speaks is forgotten. */
+    private static final Duration KNOWN_FOR = Duration.ofSeconds(10);
+
+    private final VmId self;
+    private final List<VmId> seeds;
+    private final Rendezvous rendezvous = new Rendezvous();
+    private final Map<VmId, Peer> peers = new HashMap<>();
+    private Instant helloDue = Instant.EPOCH;
+
+    private static final class Peer {
+        private Instant mentioned = Instant.EPOCH;
+        private Instant heard = Instant.EPOCH;
+        private long incarnation;
+        private boolean serving;
+        private Map<FeedName, Long> positions = Map.of();
+    }
+
+    /** Knows only the seeds. */
+    public Peers(VmId self, List<VmId> seeds) {
+        this.self = self;
+        this.seeds = List.copyOf(seeds);
+    }
+
+    /**
+     * A peer says hello.
+     *
+     * @return whether it is a new run of its VM
+     */
+    public boolean onHello(NodeId sender, Hello hello, Instant now) {
+        Peer peer = peer(sender.vm());
+        boolean restarted = peer.incarnation != 0 && peer.incarnation != sender.incarnation();
+        peer.incarnation = sender.incarnation();
+        peer.heard = now;
+        peer.mentioned = now;
+        peer.serving = hello.serving();
+        peer.positions = hello.positions();
+        for (VmId other : hello.heard()) {
+            if (!other.equals(self)) {
+                peer(other).mentioned = now;
+            }
+        }
+        return restarted;
+    }
+
+    private Peer peer(VmId id) {
+        return peers.computeIfAbsent(id, any -> new Peer());
+    }
+
+    /** Whether it is time to say hello; the next one is due a period later. */
+    public boolean helloDue(Instant now) {
+        if (now.isBefore(helloDue)) {
+            return false;
+        }
+        helloDue = now.plus(HELLO_PERIOD);
+        return true;
+    }
+
+    /** Whom to say hello to: the seeds, who was heard lately, and of whom those spoke. */
+    public List<VmId> known(Instant now) {
+        peers.values().removeIf(peer -> now.isAfter(peer.mentioned.plus(KNOWN_FOR)));
+        TreeSet<VmId> known = new TreeSet<>(seeds);
+        known.addAll(peers.keySet());
+        known.remove(self);
+        return List.copyOf(known);
+    }
+
+    /** The peers that are heard, whether they take work or not. */
+    public List<VmId> heard(Instant now) {
+        List<VmId> heard = new ArrayList<>();
+        peers.forEach((id, peer) -> {
+            if (!now.isAfter(peer.heard.plus(PRESENT_FOR))) {
+                heard.add(id);
+            }
+        });
+        return heard;
+    }
+
+    /**
+     * The node that does a duty: of those that are heard and take work, and this one, the first by rendezvous hashing.
+     *
+     * @param serving whether this node takes work
+     */
+    public VmId holder(String duty, boolean serving, Instant now) {
+        Optional<VmId> first = serving ? Optional.of(self) : Optional.empty();
+        long highest = serving ? rendezvous.score(duty, self.value()) : Long.MIN_VALUE;
+        for (VmId id : heard(now)) {
+            long score = rendezvous.score(duty, id.value());
+            if (peers.get(id).serving && (first.isEmpty() || score > highest)) {
+                first = Optional.of(id);
+                highest = score;
+            }
+        }
+        return first.orElse(self);
+    }
+
+    /** A peer that has read further in a feed than a position; the one that was heard last. */
+    public Optional<VmId> ahead(FeedName feed, long position, Instant now) {
+        Optional<VmId> found = Optional.empty();
+        Instant latest = Instant.EPOCH;
+        for (VmId id : heard(now)) {
+            Peer peer = peers.get(id);
+            if (peer.positions.getOrDefault(feed, 0L) > position && peer.heard.isAfter(latest)) {
+                found = Optional.of(id);
+                latest = peer.heard;
+            }
+        }
+        return found;
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/result/ResultCode.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/result/ResultCode.java
@@ -30,6 +30,10 @@
     REQUEST_IN_FLIGHT(108, 409),
     /** The administration interface knows nothing of this path, key or request. */
     NOT_FOUND(109, 404),
+    /** No route of the host and path is in force. */
+    UNKNOWN_ROUTE(110, 404),
+    /** No configuration in force has the caller's key. */
+    KEY_REJECTED(111, 401),
     /** The rest of the deadline is shorter than the work still takes. */
     DEADLINE_CANNOT_BE_MET(200, 503),
     /** The node has as many requests as it bears, and others are worth more. */
@@ -38,6 +42,8 @@
     CUSTOMER_OVER_SHARE(202, 429),
     /** The retry budget is spent. */
     RETRY_BUDGET_SPENT(203, 503),
+    /** What waits for the pool of a step takes longer than the request has. */
+    STEP_OVERLOADED(204, 503),
     /** No upstream of the pool may take new work. */
     NO_UPSTREAM(300, 503),
     /** Every attempt failed. */
@@ -46,6 +52,10 @@
     DEADLINE_EXCEEDED(302, 504),
     /** The upstream refused the request as wrong. */
     UPSTREAM_REJECTED(303, 422),
+    /** A step before the request could not be done; the request itself has not run. */
+    STEP_FAILED(304, 503),
+    /** The upstreams that were asked are full; none has run the request. */
+    UPSTREAM_FULL(305, 503),
     /** The outcome of the call that must happen once is not known. */
     OUTCOME_UNKNOWN(400, 502),
     /** The key is older than what the log still holds. */
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/retry/RepeatBudget.java
@@ -0,0 +1,59 @@
+package org.wagtaillug.retry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * This node's part of what all nodes together may send a pool beyond the first attempt of each request, in any window.
+ *
+ * <p>Guards against a retry storm without a word between nodes: the part that follows the requests follows this node's own
+ * requests, and the fixed part is shared out evenly among as many nodes as there may ever be.
+ */
+public final class RepeatBudget {
+    private final Duration window;
+    private final double ratio;
+    private final double fixed;
+    private final Deque<Instant> requests = new ArrayDeque<>();
+    private final Deque<Instant> repeats = new ArrayDeque<>();
+
+    /**
+     * Nothing is spent yet.
+     *
+     * @param window any span of this length counts
+     * @param ratio repeats per request, 0 to 1
+     * @param fixed repeats beyond that, of this node alone
+     */
+    public RepeatBudget(Duration window, double ratio, double fixed) {
+        this.window = window;
+        this.ratio = ratio;
+        this.fixed = fixed;
+    }
+
+    /** Notes the first attempt of a request. */
+    public void onRequest(Instant now) {
+        forget(now);
+        requests.addLast(now);
+    }
+
+    /** Takes one repeat; false if none is left. */
+    public boolean spend(Instant now) {
+        forget(now);
+        if (repeats.size() + 1 > ratio * requests.size() + fixed) {
+            return false;
+        }
+        repeats.addLast(now);
+        return true;
+    }
+
+    private void forget(Instant now) {
+        Instant oldest = now.minus(window);
+        while (!requests.isEmpty() && requests.peekFirst().isBefore(oldest)) {
+            requests.removeFirst();
+        }
+        while (!repeats.isEmpty() && repeats.peekFirst().isBefore(oldest)) {
+            repeats.removeFirst();
+        }
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/route/RouteTable.java
@@ -0,0 +1,49 @@
+package org.wagtaillug.route;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** Finds the route of a request: of the routes of its host the one with the longest prefix of its path. */
+public final class RouteTable {
+    private final Map<String, List<Route>> byHost = new HashMap<>();
+
+    /** A table of the given routes. */
+    public RouteTable(List<Route> routes) {
+        for (Route route : routes) {
+            byHost.computeIfAbsent(key(route.host()), host -> new ArrayList<>()).add(route);
+        }
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
+        byHost.values().forEach(list -> list.sort(longestFirst));
+    }
+
+    /** The route for a host, with or without a port, and a path; empty if none matches. */
+    public Optional<Route> find(String host, String path) {
+        for (Route route : byHost.getOrDefault(key(withoutPort(host)), List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** How many routes there are. */
+    public int size() {
+        return byHost.values().stream().mapToInt(List::size).sum();
+    }
+
+    private static String key(String host) {
+        return host.toLowerCase(Locale.ROOT);
+    }
+
+    private static String withoutPort(String host) {
+        int colon = host.lastIndexOf(':');
+        return colon < 0 ? host : host.substring(0, colon);
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -0,0 +1,265 @@
+package org.wagtaillug.serving;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.wagtaillug.batch.StepResult;
+import org.wagtaillug.directory.Upstream;
+import org.wagtaillug.id.CustomerId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.route.Route;
+import org.wagtaillug.route.Step;
+
+/** One request from its arrival to its answer. */
+final class Flow {
+    private final RoutedRequest request;
+    private final Route route;
+    private final Optional<CustomerId> customer;
+    private final int rank;
+    private final Instant arrivedAt;
+    private final Instant deadline;
+    private final PoolId pool;
+    private final Map<Integer, List<StepResult>> results = new HashMap<>();
+    private final Set<Integer> ordered = new HashSet<>();
+    private final Set<Integer> released = new HashSet<>();
+    private final Set<VmId> tried = new HashSet<>();
+    private Optional<Upstream> target = Optional.empty();
+    private Instant sentAt = Instant.EPOCH;
+    private Optional<String> lastEvent;
+    private int attempt;
+    private int ran;
+    private int rebuilds;
+    private boolean began;
+    private boolean mayHaveRun;
+
+    Flow(RoutedRequest request, Route route, Optional<CustomerId> customer, int rank, Instant now) {
+        this.request = request;
+        this.route = route;
+        this.customer = customer;
+        this.rank = rank;
+        this.arrivedAt = now;
+        Duration patience = request.patience().compareTo(route.timeout()) < 0 ? request.patience() : route.timeout();
+        this.deadline = now.plus(patience);
+        this.pool = route.poolOf(request.id());
+        this.lastEvent = request.resumesAfter();
+    }
+
+    RoutedRequest request() {
+        return request;
+    }
+
+    Route route() {
+        return route;
+    }
+
+    Optional<CustomerId> customer() {
+        return customer;
+    }
+
+    int rank() {
+        return rank;
+    }
+
+    Instant arrivedAt() {
+        return arrivedAt;
+    }
+
+    Instant deadline() {
+        return deadline;
+    }
+
+    PoolId pool() {
+        return pool;
+    }
+
+    /** The steps that this request has. */
+    List<Step> steps() {
+        List<Step> steps = new ArrayList<>();
+        for (Step step : route.steps()) {
+            if (request.piecesOf(step.number()) > 0) {
+                steps.add(step);
+            }
+        }
+        return steps;
+    }
+
+    /** The steps that can be ordered now: not ordered yet, and everything before them is made. */
+    List<Step> startable() {
+        List<Step> startable = new ArrayList<>();
+        for (Step step : steps()) {
+            if (!ordered.contains(step.number()) && inputsMade(step)) {
+                startable.add(step);
+            }
+        }
+        return startable;
+    }
+
+    private boolean inputsMade(Step step) {
+        for (int before : step.after()) {
+            if (request.piecesOf(before) > 0 && !results.containsKey(before)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void ordered(Step step) {
+        ordered.add(step.number());
+    }
+
+    void made(int step, List<StepResult> made) {
+        results.put(step, made);
+    }
+
+    /** The handles that a step takes: all pieces of all steps before it. */
+    List<String> inputsOf(Step step) {
+        List<String> handles = new ArrayList<>();
+        for (int before : step.after()) {
+            results.getOrDefault(before, List.of()).forEach(result -> handles.add(result.handle()));
+        }
+        return handles;
+    }
+
+    boolean stepsMade() {
+        for (Step step : steps()) {
+            if (!results.containsKey(step.number())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** The handles that the request itself takes: those of the steps that no other step follows. */
+    List<String> inputs() {
+        List<String> handles = new ArrayList<>();
+        for (Step step : steps()) {
+            if (!followed(step)) {
+                results.getOrDefault(step.number(), List.of()).forEach(result -> handles.add(result.handle()));
+            }
+        }
+        return handles;
+    }
+
+    private boolean followed(Step step) {
+        for (Step other : steps()) {
+            if (other.after().contains(step.number())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Results that only a step took that is made now; they are given out once. */
+    List<StepResult> spentBy(Step made) {
+        List<StepResult> spent = new ArrayList<>();
+        for (int before : made.after()) {
+            boolean last = true;
+            for (Step other : steps()) {
+                last &= !other.after().contains(before) || results.containsKey(other.number());
+            }
+            if (last) {
+                spent.addAll(take(before));
+            }
+        }
+        return spent;
+    }
+
+    /** All results that were not given out yet. */
+    List<StepResult> unspent() {
+        List<StepResult> unspent = new ArrayList<>();
+        for (int step : List.copyOf(results.keySet())) {
+            unspent.addAll(take(step));
+        }
+        return unspent;
+    }
+
+    /** The step that a result is of; -1 if it is of none. */
+    int stepOf(StepResult result) {
+        for (Map.Entry<Integer, List<StepResult>> entry : results.entrySet()) {
+            if (entry.getValue().contains(result)) {
+                return entry.getKey();
+            }
+        }
+        return -1;
+    }
+
+    private List<StepResult> take(int step) {
+        return released.add(step) ? results.getOrDefault(step, List.of()) : List.of();
+    }
+
+    /** Starts the steps anew: a result was lost at its maker. How often that has happened. */
+    int rebuild() {
+        results.clear();
+        ordered.clear();
+        released.clear();
+        rebuilds++;
+        return rebuilds;
+    }
+
+    Set<VmId> tried() {
+        return tried;
+    }
+
+    Optional<Upstream> target() {
+        return target;
+    }
+
+    /** Goes to an upstream; the number of the attempt. */
+    int send(Upstream upstream, Instant now) {
+        target = Optional.of(upstream);
+        tried.add(upstream.id());
+        sentAt = now;
+        attempt++;
+        return attempt;
+    }
+
+    void unsend() {
+        target = Optional.empty();
+    }
+
+    Instant sentAt() {
+        return sentAt;
+    }
+
+    int attempt() {
+        return attempt;
+    }
+
+    /** Notes that an attempt has or may have run; on how many servers now. */
+    void ranSomewhere() {
+        ran++;
+        mayHaveRun = true;
+    }
+
+    int ran() {
+        return ran;
+    }
+
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    void began() {
+        began = true;
+    }
+
+    /** Whether the caller has the head of the answer. */
+    boolean answering() {
+        return began;
+    }
+
+    Optional<String> lastEvent() {
+        return lastEvent;
+    }
+
+    void lastEvent(Optional<String> newest) {
+        lastEvent = newest.isPresent() ? newest : lastEvent;
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -0,0 +1,549 @@
+package org.wagtaillug.serving;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.wagtaillug.admission.ColdPace;
+import org.wagtaillug.batch.OrderId;
+import org.wagtaillug.batch.PieceOrder;
+import org.wagtaillug.batch.PieceOutcome;
+import org.wagtaillug.batch.StepResult;
+import org.wagtaillug.directory.Upstream;
+import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.health.UpstreamHealth;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.node.Decision;
+import org.wagtaillug.result.Refusal;
+import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.retry.RepeatBudget;
+import org.wagtaillug.route.Customer;
+import org.wagtaillug.route.PieceContract;
+import org.wagtaillug.route.PoolProfile;
+import org.wagtaillug.route.Route;
+import org.wagtaillug.route.RouteKind;
+import org.wagtaillug.route.ServingConfiguration;
+import org.wagtaillug.route.Step;
+import org.wagtaillug.routing.UpstreamChooser;
+import org.wagtaillug.serving.ServingEffect.Outcome;
+
+/** The requests that are under way on this node: what each needs next, and its one final answer. */
+final class RequestFlows {
+    /** A caller that is told to come back while a pool has no server, or none that may get more. */
+    private static final Duration COME_BACK = Duration.ofMillis(500);
+
+    /** A request that no upstream may get now waits for this part of its aim, then it is refused. */
+    private static final int PART_OF_AIM = 8;
+
+    /** Servers that say that they are full: so many are asked for one request, whatever its route allows. */
+    private static final int MOST_SENDS = 3;
+
+    /** Lost inputs are made anew this often. */
+    private static final int MOST_REBUILDS = 1;
+
+    /** Status of an engine that does not find a result that the request names. */
+    private static final int INPUTS_GONE = 409;
+
+    /** A customer's rank goes before a route's. */
+    private static final int RANKS_OF_ROUTES = 100;
+
+    private final UpstreamDirectory directory;
+    private final UpstreamHealth health;
+    private final ColdPace coldPace;
+    private final UpstreamChooser chooser;
+    private final StepOrders orders;
+    private final ServingSetup.Repeats repeats;
+    private final Consumer<ServingEffect> effects;
+    private final Map<RequestId, Flow> flows = new LinkedHashMap<>();
+    private final Map<RequestId, List<Long>> orderNumbers = new HashMap<>();
+    private final Map<RequestId, Map<Integer, VmId>> fillers = new HashMap<>();
+    private final Map<PoolId, RepeatBudget> budgets = new HashMap<>();
+    private final Map<RequestId, Instant> waiting = new LinkedHashMap<>();
+    private ServingConfiguration configuration;
+
+    RequestFlows(
+            ServingSetup setup,
+            UpstreamDirectory directory,
+            UpstreamHealth health,
+            StepOrders orders,
+            Consumer<ServingEffect> effects) {
+        this.directory = directory;
+        this.health = health;
+        this.coldPace = new ColdPace();
+        this.chooser = new UpstreamChooser(directory, health, coldPace, setup.domain());
+        this.orders = orders;
+        this.repeats = setup.repeats();
+        this.effects = effects;
+    }
+
+    /** Requests that arrive from now on are handled by a new version. */
+    void configure(ServingConfiguration newest) {
+        configuration = newest;
+    }
+
+    boolean idle() {
+        return flows.isEmpty();
+    }
+
+    int size() {
+        return flows.size();
+    }
+
+    void onRequest(RoutedRequest request, Instant now) {
+        if (flows.containsKey(request.id())) {
+            refuseUnknown(request, ResultCode.REQUEST_IN_FLIGHT, "a request with this id is under way");
+            return;
+        }
+        Optional<Route> route = configuration.routes().find(request.host(), request.path());
+        if (route.isEmpty()) {
+            String message = "no route for \"" + request.host() + request.path() + "\"";
+            refuseUnknown(request, ResultCode.UNKNOWN_ROUTE, message);
+            return;
+        }
+        Optional<Customer> customer = request.callerKey().map(configuration.customers()::get);
+        boolean open = route.get().open() || configuration.customers().isEmpty();
+        if (customer.isEmpty() && !open) {
+            refuseUnknown(request, ResultCode.KEY_REJECTED, "the key is not one that is in force");
+            return;
+        }
+        begin(request, route.get(), customer, now);
+    }
+
+    private void refuseUnknown(RoutedRequest request, ResultCode code, String message) {
+        log("refuse", request.id())
+                .field("code", code)
+                .field("configuration", configuration.version())
+                .field("host", request.host())
+                .write();
+        effects.accept(new ServingEffect.Refuse(request.id(), Refusal.notRun(code, Duration.ZERO, message)));
+        if (code != ResultCode.REQUEST_IN_FLIGHT) {
+            effects.accept(new ServingEffect.Finished(request.id(), NO_ROUTE, Outcome.REFUSED, Duration.ZERO));
+        }
+    }
+
+    /** Stands in the metrics for requests that match no route. */
+    static final String NO_ROUTE = "none";
+
+    private void begin(RoutedRequest request, Route route, Optional<Customer> customer, Instant now) {
+        int customerRank = customer.map(each -> each.rank().orElse(0)).orElse(0);
+        int rank = customerRank * RANKS_OF_ROUTES + route.rank();
+        Flow flow = new Flow(request, route, customer.map(Customer::id), rank, now);
+        flows.put(request.id(), flow);
+        budget(flow.pool()).onRequest(now);
+        log("accept", request.id())
+                .field("route", route.id())
+                .field("customer", flow.customer().map(Object::toString).orElse("-"))
+                .field("configuration", configuration.version())
+                .field("patience_ms", Duration.between(now, flow.deadline()).toMillis())
+                .field("pieces", request.pieces())
+                .write();
+        advance(flow, now);
+    }
+
+    private RepeatBudget budget(PoolId pool) {
+        return budgets.computeIfAbsent(
+                pool,
+                id -> new RepeatBudget(
+                        repeats.window(), repeats.ratio(), repeats.fixed() / UpstreamChooser.MOST_NODES));
+    }
+
+    /** Orders the steps that can be ordered, or sends the request when all are made. */
+    private void advance(Flow flow, Instant now) {
+        if (flow.stepsMade()) {
+            send(flow, now);
+            return;
+        }
+        for (Step step : flow.startable()) {
+            if (flows.get(flow.request().id()) != flow) {
+                return;
+            }
+            order(flow, step, now);
+        }
+    }
+
+    private void order(Flow flow, Step step, Instant now) {
+        Optional<PieceContract> contract = configuration.pool(step.pool()).flatMap(PoolProfile::pieces);
+        if (contract.isEmpty()) {
+            String message = "the pool \"" + step.pool() + "\" of step " + step.number() + " takes no pieces";
+            refuse(flow, ResultCode.STEP_FAILED, COME_BACK, message, now);
+            return;
+        }
+        flow.ordered(step);
+        OrderId id = orders.nextId();
+        orderNumbers
+                .computeIfAbsent(flow.request().id(), any -> new ArrayList<>())
+                .add(id.number());
+        List<String> inputs = flow.inputsOf(step);
+        orders.order(
+                new PieceOrder(
+                        id,
+                        flow.request().id(),
+                        step.number(),
+                        step.pool(),
+                        flow.request().piecesOf(step.number()),
+                        inputs.isEmpty() ? flow.request().pieceKey() : Optional.empty(),
+                        inputs,
+                        step.resultBytes(),
+                        StepTimes.urgency(flow, step, configuration)),
+                contract.get(),
+                now);
+    }
+
+    void onStepAnswer(StepOrders.Answer answer, Instant now) {
+        PieceOrder order = answer.order();
+        Flow flow = flows.get(order.request());
+        boolean wanted = flow != null
+                && orderNumbers
+                        .getOrDefault(order.request(), List.of())
+                        .contains(order.id().number());
+        if (!wanted) {
+            if (answer.outcome() instanceof PieceOutcome.Made made) {
+                orders.release(answer.filler(), made.results());
+            }
+            return;
+        }
+        switch (answer.outcome()) {
+            case PieceOutcome.Made made -> {
+                fillers.computeIfAbsent(order.request(), id -> new HashMap<>()).put(order.step(), answer.filler());
+                flow.made(order.step(), made.results());
+                Step step = flow.route().steps().get(order.step());
+                release(flow, flow.spentBy(step));
+                advance(flow, now);
+            }
+            case PieceOutcome.NotMade notMade -> onNotMade(flow, order, notMade, now);
+        }
+    }
+
+    private void onNotMade(Flow flow, PieceOrder order, PieceOutcome.NotMade notMade, Instant now) {
+        if (notMade.reason() == PieceOutcome.Reason.INPUTS_GONE && rebuild(flow, now)) {
+            return;
+        }
+        String message = "step " + order.step() + " was not done: " + notMade.reason();
+        ResultCode code =
+                switch (notMade.reason()) {
+                    case OVERLOADED -> ResultCode.STEP_OVERLOADED;
+                    case LATE -> ResultCode.DEADLINE_CANNOT_BE_MET;
+                    case INPUTS_GONE, FAILED -> ResultCode.STEP_FAILED;
+                    case NO_UPSTREAM -> ResultCode.NO_UPSTREAM;
+                };
+        refuse(flow, code, notMade.retryAfter(), message, now);
+    }
+
+    /** A result was lost at its maker: all steps are done again, once. */
+    private boolean rebuild(Flow flow, Instant now) {
+        withdraw(flow, now);
+        release(flow, flow.unspent());
+        if (flow.rebuild() > MOST_REBUILDS) {
+            return false;
+        }
+        log("rebuild", flow.request().id()).write();
+        advance(flow, now);
+        return true;
+    }
+
+    /** Tells the nodes that keep the accounts; those of different steps may be different ones. */
+    private void release(Flow flow, List<StepResult> results) {
+        if (results.isEmpty()) {
+            return;
+        }
+        Map<Integer, VmId> byStep = fillers.getOrDefault(flow.request().id(), Map.of());
+        Map<VmId, List<StepResult>> byFiller = new HashMap<>();
+        for (StepResult result : results) {
+            VmId filler = byStep.get(flow.stepOf(result));
+            if (filler != null) {
+                byFiller.computeIfAbsent(filler, any -> new ArrayList<>()).add(result);
+            }
+        }
+        byFiller.forEach(orders::release);
+    }
+
+    private void send(Flow flow, Instant now) {
+        Optional<PoolProfile> pool = configuration.pool(flow.pool());
+        if (pool.isEmpty() || directory.usable(flow.pool()).isEmpty()) {
+            giveUp(flow, ResultCode.NO_UPSTREAM, "the pool \"" + flow.pool() + "\" has no upstream", now);
+            return;
+        }
+        Set<VmId> tried = flow.tried();
+        Optional<String> lastPart = flow.request().promptParts().isEmpty()
+                ? Optional.empty()
+                : Optional.of(flow.request().promptParts().getLast());
+        Optional<Upstream> chosen = chooser.choose(pool.get(), tried, lastPart, now);
+        if (chosen.isEmpty()) {
+            waitForUpstream(flow, now);
+            return;
+        }
+        waiting.remove(flow.request().id());
+        send(flow, chosen.get(), now);
+    }
+
+    private void waitForUpstream(Flow flow, Instant now) {
+        Duration patience = flow.route().aim().dividedBy(PART_OF_AIM);
+        Instant until = waiting.computeIfAbsent(flow.request().id(), id -> now.plus(patience));
+        if (!now.isBefore(until)) {
+            giveUp(flow, ResultCode.UPSTREAM_FULL, "no upstream of \"" + flow.pool() + "\" may get more", now);
+        }
+    }
+
+    private void send(Flow flow, Upstream upstream, Instant now) {
+        int attempt = flow.send(upstream, now);
+        health.onStarted(upstream.id(), now);
+        coldPace.onSent(upstream.id(), now);
+        boolean stream = flow.route().kind() == RouteKind.STREAM;
+        effects.accept(new ServingEffect.Send(new SendOrder(
+                flow.request().id(),
+                attempt,
+                upstream.listing(),
+                flow.deadline(),
+                flow.customer(),
+                flow.inputs(),
+                flow.lastEvent(),
+                stream,
+                stream || flow.route().kind() == RouteKind.ONCE)));
+        log("send", flow.request().id())
+                .field("attempt", attempt)
+                .field("upstream", upstream.id())
+                .field("incarnation", upstream.listing().incarnation())
+                .field("domain", upstream.domain())
+                .field("in_flight", health.inFlight(upstream.id()))
+                .field(
+                        "since_arrival_ms",
+                        Duration.between(flow.arrivedAt(), now).toMillis())
+                .write();
+    }
+
+    void onAnswerBegan(RequestId id, int attempt, Instant now) {
+        Flow flow = flows.get(id);
+        if (flow == null || flow.attempt() != attempt || flow.target().isEmpty()) {
+            return;
+        }
+        if (!flow.answering()) {
+            flow.began();
+            flow.ranSomewhere();
+        }
+        health.onProgress(flow.target().get().id(), now);
+        // The engine has fetched its inputs before its first event.
+        release(flow, flow.unspent());
+    }
+
+    void onSendEnded(RequestId id, int attempt, SendEnd end, Instant now) {
+        Flow flow = flows.get(id);
+        if (flow == null || flow.attempt() != attempt || flow.target().isEmpty()) {
+            return;
+        }
+        Upstream upstream = flow.target().get();
+        flow.unsend();
+        note(flow, upstream, end, now);
+        switch (end) {
+            case SendEnd.Passed ignored -> finish(flow, Outcome.PASSED, "passed", now);
+            case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "given up", now);
+            case SendEnd.Unsent ignored -> sendElsewhere(flow, now);
+            case SendEnd.NotRun notRun -> onNotRun(flow, notRun.status(), now);
+            case SendEnd.Failed ignored -> onFailed(flow, now);
+            case SendEnd.Broken broken -> onBroken(flow, broken, now);
+        }
+    }
+
+    private void note(Flow flow, Upstream upstream, SendEnd end, Instant now) {
+        Duration took = Duration.between(flow.sentAt(), now);
+        Optional<PoolId> pool = Optional.of(flow.pool());
+        switch (end) {
+            case SendEnd.Passed ignored -> health.onEnded(upstream.id(), pool, took, true, now);
+            case SendEnd.Failed ignored -> health.onEnded(upstream.id(), pool, took, true, now);
+            case SendEnd.GivenUp ignored -> health.onCancelled(upstream.id());
+            case SendEnd.NotRun ignored -> health.onCancelled(upstream.id());
+            case SendEnd.Unsent ignored -> fault(upstream, took, now);
+            case SendEnd.Broken ignored -> fault(upstream, took, now);
+        }
+        log("end", flow.request().id())
+                .field("attempt", flow.attempt())
+                .field("upstream", upstream.id())
+                .field("end", end)
+                .field("took_ms", took.toMillis())
+                .write();
+    }
+
+    /** The upstream may have started anew, and be cold until it says otherwise. */
+    private void fault(Upstream upstream, Duration took, Instant now) {
+        health.onEnded(upstream.id(), Optional.empty(), took, false, now);
+        directory.onFault(upstream.id(), now.plus(UNKNOWN_AFTER_FAULT));
+    }
+
+    /** Two of the periods at which upstreams write their entries. */
+    private static final Duration UNKNOWN_AFTER_FAULT = Duration.ofMillis(2500);
+
+    private void onNotRun(Flow flow, int status, Instant now) {
+        if (status == INPUTS_GONE && !flow.steps().isEmpty() && rebuild(flow, now)) {
+            return;
+        }
+        sendElsewhere(flow, now);
+    }
+
+    /** Nothing has run: another upstream may get the request. */
+    private void sendElsewhere(Flow flow, Instant now) {
+        boolean again = flow.attempt() < MOST_SENDS && budget(flow.pool()).spend(now);
+        if (again) {
+            send(flow, now);
+            return;
+        }
+        giveUp(flow, ResultCode.UPSTREAM_FULL, "no upstream of \"" + flow.pool() + "\" took the request", now);
+    }
+
+    private void onFailed(Flow flow, Instant now) {
+        if (flow.answering()) {
+            giveUp(flow, ResultCode.ATTEMPTS_FAILED, "the upstream that was to go on failed", now);
+            return;
+        }
+        flow.ranSomewhere();
+        if (!mayRepeat(flow, now)) {
+            effects.accept(new ServingEffect.PassFailure(flow.request().id()));
+            finish(flow, Outcome.FAILED, "failure passed on", now);
+            return;
+        }
+        send(flow, now);
+    }
+
+    private void onBroken(Flow flow, SendEnd.Broken broken, Instant now) {
+        flow.lastEvent(broken.lastEvent());
+        if (!flow.answering()) {
+            flow.ranSomewhere();
+        }
+        if (!mayRepeat(flow, now)) {
+            giveUp(flow, ResultCode.OUTCOME_UNKNOWN, "the upstream broke off: " + broken.reason(), now);
+            return;
+        }
+        send(flow, now);
+    }
+
+    /** Whether a request may go to another upstream after one that may have run it; takes a repeat from the budget. */
+    private boolean mayRepeat(Flow flow, Instant now) {
+        boolean allowed =
+                flow.route().repeatable() && flow.ran() < flow.route().attempts() && now.isBefore(flow.deadline());
+        return allowed && budget(flow.pool()).spend(now);
+    }
+
+    /** Ends a request that cannot be served, as truly as its state allows. */
+    private void giveUp(Flow flow, ResultCode code, String message, Instant now) {
+        if (flow.answering()) {
+            effects.accept(new ServingEffect.Cut(flow.request().id()));
+            finish(flow, Outcome.LOST, "cut: " + message, now);
+            return;
+        }
+        if (flow.mayHaveRun()) {
+            ResultCode unknown =
+                    code.status() == ResultCode.DEADLINE_EXCEEDED.status() ? code : ResultCode.OUTCOME_UNKNOWN;
+            Refusal refusal = Refusal.unknown(unknown, Duration.ZERO, message);
+            effects.accept(new ServingEffect.Refuse(flow.request().id(), refusal));
+            finish(flow, Outcome.LOST, "refused " + unknown, now);
+            return;
+        }
+        refuse(flow, code, COME_BACK, message, now);
+    }
+
+    private void refuse(Flow flow, ResultCode code, Duration retryAfter, String message, Instant now) {
+        effects.accept(new ServingEffect.Refuse(flow.request().id(), Refusal.notRun(code, retryAfter, message)));
+        finish(flow, Outcome.REFUSED, "refused " + code + ": " + message, now);
+    }
+
+    private void finish(Flow flow, Outcome outcome, String how, Instant now) {
+        RequestId id = flow.request().id();
+        withdraw(flow, now);
+        release(flow, flow.unspent());
+        flows.remove(id);
+        waiting.remove(id);
+        fillers.remove(id);
+        Duration took = Duration.between(flow.arrivedAt(), now);
+        effects.accept(new ServingEffect.Finished(id, flow.route().id().value(), outcome, took));
+        log("finish", id)
+                .field("outcome", outcome)
+                .field("how", how)
+                .field("route", flow.route().id())
+                .field("total_ms", took.toMillis())
+                .write();
+    }
+
+    private void withdraw(Flow flow, Instant now) {
+        List<Long> numbers = orderNumbers.remove(flow.request().id());
+        if (numbers != null) {
+            orders.withdraw(numbers, now);
+        }
+    }
+
+    void onCallerLeft(RequestId id, Instant now) {
+        Flow flow = flows.get(id);
+        if (flow == null) {
+            return;
+        }
+        endSend(flow);
+        finish(flow, Outcome.LEFT, "the caller left", now);
+    }
+
+    private void endSend(Flow flow) {
+        if (flow.target().isPresent()) {
+            effects.accept(new ServingEffect.GiveUpSend(flow.request().id(), flow.attempt()));
+            health.onCancelled(flow.target().get().id());
+            flow.unsend();
+        }
+    }
+
+    void onTick(Instant now) {
+        for (Flow flow : List.copyOf(flows.values())) {
+            if (!now.isBefore(flow.deadline())) {
+                onDeadline(flow, now);
+            }
+        }
+        for (RequestId id : List.copyOf(waiting.keySet())) {
+            Flow flow = flows.get(id);
+            if (flow != null && flow.target().isEmpty()) {
+                send(flow, now);
+            }
+        }
+    }
+
+    private void onDeadline(Flow flow, Instant now) {
+        boolean sent = flow.target().isPresent();
+        if (sent && !flow.mayHaveRun()) {
+            flow.ranSomewhere();
+        }
+        endSend(flow);
+        if (sent || flow.mayHaveRun()) {
+            giveUp(flow, ResultCode.DEADLINE_EXCEEDED, "the deadline has passed", now);
+            return;
+        }
+        refuse(
+                flow,
+                ResultCode.DEADLINE_CANNOT_BE_MET,
+                Duration.ZERO,
+                "the deadline has passed before it could run",
+                now);
+    }
+
+    private LogLine log(String kind, RequestId request) {
+        return new LogLine(Decision.builder(kind).field("request", request));
+    }
+
+    /** A decision on its way to the log. */
+    private final class LogLine {
+        private final Decision.Builder decision;
+
+        private LogLine(Decision.Builder decision) {
+            this.decision = decision;
+        }
+
+        private LogLine field(String name, Object value) {
+            decision.field(name, value);
+            return this;
+        }
+
+        private void write() {
+            effects.accept(new ServingEffect.LogDecision(decision.build()));
+        }
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -0,0 +1,99 @@
+package org.wagtaillug.serving;
+
+import java.util.List;
+import org.wagtaillug.batch.PieceCallEnd;
+import org.wagtaillug.feed.FeedBatch;
+import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedRecord;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.message.ServingMessage;
+
+/** Something that happened outside. */
+public sealed interface ServingEvent {
+    /** Time passed. */
+    record Tick() implements ServingEvent {}
+
+    /**
+     * A caller's request is here, whole.
+     *
+     * @param request what it asks
+     */
+    record RequestArrived(RoutedRequest request) implements ServingEvent {}
+
+    /**
+     * The caller has closed its connection.
+     *
+     * @param request which
+     */
+    record CallerLeft(RequestId request) implements ServingEvent {}
+
+    /**
+     * An upstream began a good answer.
+     *
+     * @param request which
+     * @param attempt of it
+     */
+    record AnswerBegan(RequestId request, int attempt) implements ServingEvent {}
+
+    /**
+     * An attempt is over; once for each {@link ServingEffect.Send}.
+     *
+     * @param request which
+     * @param attempt of it
+     * @param end how
+     */
+    record SendEnded(RequestId request, int attempt, SendEnd end) implements ServingEvent {}
+
+    /**
+     * A call to a stage server is over; once for each {@link ServingEffect.CallPieces}.
+     *
+     * @param call its number
+     * @param end how
+     */
+    record PieceCallEnded(long call, PieceCallEnd end) implements ServingEvent {}
+
+    /**
+     * Another node said something.
+     *
+     * @param sender who
+     * @param message what
+     */
+    record PeerMessageReceived(NodeId sender, ServingMessage message) implements ServingEvent {}
+
+    /**
+     * A page of the newest records came.
+     *
+     * @param feed which feed
+     * @param records the page
+     * @param more whether another page follows
+     * @param end where the feed ended
+     */
+    record FeedListed(FeedName feed, List<FeedRecord> records, boolean more, long end) implements ServingEvent {}
+
+    /**
+     * Records came.
+     *
+     * @param feed which feed
+     * @param batch what came
+     */
+    record FeedRead(FeedName feed, FeedBatch batch) implements ServingEvent {}
+
+    /**
+     * The records that were asked for are no longer kept.
+     *
+     * @param feed which feed
+     */
+    record FeedForgotten(FeedName feed) implements ServingEvent {}
+
+    /**
+     * A read got no answer, or a refusal.
+     *
+     * @param feed which feed
+     * @param reason for the log
+     */
+    record FeedFailed(FeedName feed, String reason) implements ServingEvent {}
+
+    /** The process is asked to end. */
+    record DrainStarted() implements ServingEvent {}
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Shutdown.java
@@ -0,0 +1,46 @@
+package org.wagtaillug.serving;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * The end of a node's life: it says at once that it is not ready, and goes on serving what comes until the balancer has
+ * noticed and everything is answered.
+ */
+final class Shutdown {
+    /** The balancer asks once a second and takes a node out after two misses; half a second for requests on their way. */
+    private static final Duration BALANCER_NOTICES = Duration.ofMillis(2500);
+
+    /** What is left of the grace for the process to close its sockets. */
+    private static final Duration TO_EXIT = Duration.ofMillis(400);
+
+    private final Duration grace;
+    private Optional<Instant> startedAt = Optional.empty();
+    private boolean finished;
+
+    Shutdown(Duration grace) {
+        this.grace = grace;
+    }
+
+    void start(Instant now) {
+        if (startedAt.isEmpty()) {
+            startedAt = Optional.of(now);
+        }
+    }
+
+    boolean started() {
+        return startedAt.isPresent();
+    }
+
+    /** True once: when the process may end. */
+    boolean finished(boolean idle, Instant now) {
+        if (finished || startedAt.isEmpty()) {
+            return false;
+        }
+        boolean noticed = !now.isBefore(startedAt.get().plus(BALANCER_NOTICES));
+        boolean outOfTime = !now.isBefore(startedAt.get().plus(grace).minus(TO_EXIT));
+        finished = (idle && noticed) || outOfTime;
+        return finished;
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -0,0 +1,258 @@
+package org.wagtaillug.serving;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.wagtaillug.batch.OrderId;
+import org.wagtaillug.batch.PieceCall;
+import org.wagtaillug.batch.PieceFiller;
+import org.wagtaillug.batch.PieceOrder;
+import org.wagtaillug.batch.PieceOutcome;
+import org.wagtaillug.batch.PieceOutput;
+import org.wagtaillug.batch.StepResult;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.node.Decision;
+import org.wagtaillug.peer.Peers;
+import org.wagtaillug.route.PieceContract;
+
+/**
+ * Orders of pieces: this node's own, wherever their pool's calls are filled, and those of others that are filled here.
+ *
+ * <p>A message may be lost, and the node that fills a pool's calls may die with all that it was told. An order is said
+ * again while nothing is heard, to whichever node fills then; the filling node knows an order that it has heard before.
+ */
+final class StepOrders {
+    /** A little above the time of a full call, so that most orders are said once. */
+    private static final Duration SAY_AGAIN = Duration.ofMillis(600);
+
+    private final NodeId self;
+    private final Peers peers;
+    private final Consumer<ServingEffect> effects;
+    private final BooleanSupplier takesWork;
+    private final PieceFiller filler;
+    private final Map<Long, Outstanding> outstanding = new HashMap<>();
+    private Consumer<Answer> answers = answer -> {};
+    private long lastNumber;
+
+    /**
+     * What became of one of this node's own orders.
+     *
+     * @param order which
+     * @param outcome what
+     * @param filler the node that filled it
+     */
+    record Answer(PieceOrder order, PieceOutcome outcome, VmId filler) {}
+
+    private static final class Outstanding {
+        private final PieceOrder order;
+        private final PieceContract contract;
+        private VmId filler;
+        private Instant sayAgain = Instant.EPOCH;
+
+        private Outstanding(PieceOrder order, PieceContract contract, VmId filler) {
+            this.order = order;
+            this.contract = contract;
+            this.filler = filler;
+        }
+    }
+
+    StepOrders(
+            NodeId self,
+            Peers peers,
+            UpstreamDirectory directory,
+            Consumer<ServingEffect> effects,
+            BooleanSupplier takesWork) {
+        this.self = self;
+        this.peers = peers;
+        this.effects = effects;
+        this.takesWork = takesWork;
+        this.filler = new PieceFiller(directory, new FillerOutput());
+    }
+
+    /** Sets who hears what became of this node's orders. */
+    void onAnswer(Consumer<Answer> receiver) {
+        answers = receiver;
+    }
+
+    PieceFiller filler() {
+        return filler;
+    }
+
+    /** A number for a new order. */
+    OrderId nextId() {
+        lastNumber++;
+        return new OrderId(self, lastNumber);
+    }
+
+    void order(PieceOrder order, PieceContract contract, Instant now) {
+        Outstanding one = new Outstanding(order, contract, holder(order, now));
+        outstanding.put(order.id().number(), one);
+        say(one, now);
+    }
+
+    private VmId holder(PieceOrder order, Instant now) {
+        return peers.holder(order.pool().value(), takesWork.getAsBoolean(), now);
+    }
+
+    private void say(Outstanding one, Instant now) {
+        one.sayAgain = now.plus(SAY_AGAIN);
+        if (one.filler.equals(self.vm())) {
+            filler.onOrder(one.order, one.contract, now);
+            return;
+        }
+        PieceOrder order = one.order;
+        effects.accept(new ServingEffect.SendToPeer(
+                one.filler,
+                new ServingMessage.PiecesWanted(
+                        order.id().number(),
+                        order.request(),
+                        order.step(),
+                        order.pool(),
+                        order.pieces(),
+                        order.key(),
+                        order.inputs(),
+                        order.resultBytes(),
+                        order.urgency().rank(),
+                        Duration.between(now, order.urgency().aim()),
+                        Duration.between(now, order.urgency().deadline()))));
+    }
+
+    /** The request has ended: its orders are not wanted any more. */
+    void withdraw(List<Long> numbers, Instant now) {
+        for (long number : numbers) {
+            Outstanding one = outstanding.remove(number);
+            if (one != null) {
+                withdraw(one, now);
+            }
+        }
+    }
+
+    private void withdraw(Outstanding one, Instant now) {
+        if (one.filler.equals(self.vm())) {
+            filler.onWithdrawn(one.order.id(), now);
+            return;
+        }
+        long number = one.order.id().number();
+        effects.accept(new ServingEffect.SendToPeer(one.filler, new ServingMessage.PiecesWithdrawn(number)));
+    }
+
+    /** Results are not needed any more; the node that fills their pool keeps the account of the room. */
+    void release(VmId fillerNode, List<StepResult> results) {
+        if (results.isEmpty()) {
+            return;
+        }
+        if (fillerNode.equals(self.vm())) {
+            filler.onReleased(results);
+            return;
+        }
+        effects.accept(new ServingEffect.SendToPeer(fillerNode, new ServingMessage.ResultsReleased(results)));
+    }
+
+    /** Another node orders pieces here. */
+    void onWanted(NodeId sender, ServingMessage.PiecesWanted wanted, PieceContract contract, Instant now) {
+        PieceOrder.Urgency urgency =
+                new PieceOrder.Urgency(wanted.rank(), now.plus(wanted.aimLeft()), now.plus(wanted.deadlineLeft()));
+        PieceOrder order = new PieceOrder(
+                new OrderId(sender, wanted.number()),
+                wanted.request(),
+                wanted.step(),
+                wanted.pool(),
+                wanted.pieces(),
+                wanted.key(),
+                wanted.inputs(),
+                wanted.resultBytes(),
+                urgency);
+        filler.onOrder(order, contract, now);
+    }
+
+    /** Another node withdraws an order. */
+    void onWithdrawn(NodeId sender, long number, Instant now) {
+        filler.onWithdrawn(new OrderId(sender, number), now);
+    }
+
+    /** The node that fills says what became of an order. */
+    void onAnswered(NodeId sender, ServingMessage.PiecesAnswered answered, Instant now) {
+        answer(answered.number(), answered.outcome(), sender.vm());
+    }
+
+    private void answer(long number, PieceOutcome outcome, VmId fillerNode) {
+        Outstanding one = outstanding.remove(number);
+        if (one != null) {
+            answers.accept(new Answer(one.order, outcome, fillerNode));
+            return;
+        }
+        if (outcome instanceof PieceOutcome.Made made) {
+            // The request has ended meanwhile, or another node made the same pieces.
+            release(fillerNode, made.results());
+        }
+    }
+
+    /** Says again what was not answered; to another node if another fills now. */
+    void onTick(Instant now) {
+        for (Outstanding one : List.copyOf(outstanding.values())) {
+            VmId holder = holder(one.order, now);
+            if (!holder.equals(one.filler) && !stillThere(one.filler, now)) {
+                one.filler = holder;
+                one.sayAgain = now;
+            }
+            if (!now.isBefore(one.sayAgain)) {
+                say(one, now);
+            }
+        }
+        filler.onTick(now);
+    }
+
+    /** An order stays where it is while its node is there, even if another would get it now: its pieces may be half made. */
+    private boolean stillThere(VmId node, Instant now) {
+        return node.equals(self.vm()) || peers.heard(now).contains(node);
+    }
+
+    /** A peer has started anew: it knows nothing of what it was told. */
+    void onPeerRestarted(VmId peer, Instant now) {
+        for (Outstanding one : outstanding.values()) {
+            if (one.filler.equals(peer)) {
+                one.sayAgain = now;
+            }
+        }
+    }
+
+    boolean idle() {
+        return outstanding.isEmpty() && filler.idle();
+    }
+
+    private final class FillerOutput implements PieceOutput {
+        @Override
+        public void call(PieceCall call) {
+            effects.accept(new ServingEffect.CallPieces(call));
+        }
+
+        @Override
+        public void outcome(PieceOrder order, PieceOutcome outcome) {
+            NodeId origin = order.id().origin();
+            if (origin.equals(self)) {
+                answer(order.id().number(), outcome, self.vm());
+                return;
+            }
+            effects.accept(new ServingEffect.SendToPeer(
+                    origin.vm(), new ServingMessage.PiecesAnswered(order.id().number(), outcome)));
+        }
+
+        @Override
+        public void release(Listing maker, List<String> handles) {
+            effects.accept(new ServingEffect.ReleaseResults(maker, handles));
+        }
+
+        @Override
+        public void decided(Decision decision) {
+            effects.accept(new ServingEffect.LogDecision(decision));
+        }
+    }
+}
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
@@ -33,13 +33,14 @@
 import org.wagtaillug.link.PeerLink;
 import org.wagtaillug.log.LogRecord.NodeAddress;
 import org.wagtaillug.membership.Members;
+import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Event;
 import org.wagtaillug.node.Node;
 import org.wagtaillug.node.NodeSetup;
 import org.wagtaillug.settings.NodeSettings;
 
 /** One entry node: the decisions, the frame around them, and their beginning and end. */
-final class Daemon {
+final class Daemon implements ProcessRun.Life {
     private static final Logger LOGGER = System.getLogger(Daemon.class.getName());
     private static final int THREADS = 32;
     private static final int CONNECTIONS_EACH = 256;
@@ -56,7 +57,7 @@
     private final PendingChanges pending = new PendingChanges();
     private final Exchanges exchanges = new Exchanges();
     private final Node node;
-    private final ControlThread control;
+    private final ControlThread<Node, Event, Effect> control;
     private final HttpClient kept;
     private final HttpClient fresh;
     private final HttpClient platformHttp;
@@ -69,7 +70,7 @@
         threads.setName("traffic");
         NodeId self = new NodeId(settings.node().vm(), clock.now().toEpochMilli());
         node = new Node(setup(settings, self));
-        control = new ControlThread(node, clock);
+        control = new ControlThread<>(node, Node::handle, new Event.Tick(), clock);
         kept = client();
         fresh = client();
         platformHttp = client();
@@ -108,7 +109,8 @@
     }
 
     /** Starts everything; when it returns, all ports listen. */
-    void start() throws Exception {
+    @Override
+    public void start() throws Exception {
         threads.start();
         kept.start();
         fresh.start();
@@ -193,7 +195,8 @@
     }
 
     /** Ends without cutting a request; when it returns, everything that was begun is answered. */
-    void drain() throws InterruptedException {
+    @Override
+    public void drain() throws InterruptedException {
         LOGGER.log(Level.INFO, "node {0} drains", settings.node().vm());
         control.submit(new Event.DrainStarted());
         if (!runner.drained().await(DRAIN_GRACE.toMillis(), TimeUnit.MILLISECONDS)) {
@@ -205,7 +208,8 @@
     }
 
     /** Closes all ports and ends all threads. */
-    void stop() throws Exception {
+    @Override
+    public void stop() throws Exception {
         server.stop();
         kept.stop();
         fresh.stop();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Main.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Main.java
@@ -6,13 +6,11 @@
 import io.vavr.control.Either;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
 import org.wagtaillug.settings.NodeSettings;
 import org.wagtaillug.settings.SettingsProblem;
 
 /** Starts an entry node from its settings file. Exit codes: 0 ended as asked, 1 a fault, 2 wrong use. */
 public final class Main {
-    private static final int SOFTWARE = 1;
     private static final int USAGE = 2;
 
     @Parameter(names = "--settings", description = "The node's settings file; docs/SETTINGS.md lists the fields")
@@ -55,7 +53,7 @@
         return version == null ? "0.1.0" : version;
     }
 
-    private int run() throws InterruptedException {
+    private int run() {
         if (settings == null) {
             System.err.println("wagtaillugd: --settings is missing; expected a settings file, for example"
                     + " examples/ramdin/node-1.yaml");
@@ -67,37 +65,6 @@
             return USAGE;
         }
         System.setProperty("wagtaillug.log.level", read.get().log().level().name());
-        return serve(read.get());
-    }
-
-    private static int serve(NodeSettings settings) throws InterruptedException {
-        CountDownLatch ended = new CountDownLatch(1);
-        CountDownLatch closed = new CountDownLatch(1);
-        Thread hook = new Thread(() -> endAndWait(ended, closed), "end");
-        Runtime.getRuntime().addShutdownHook(hook);
-        try {
-            Daemon daemon = new Daemon(settings);
-            daemon.start();
-            ended.await();
-            daemon.drain();
-            daemon.stop();
-        } catch (Exception fault) {
-            System.err.println("wagtaillugd: cannot serve: " + fault);
-            Runtime.getRuntime().halt(SOFTWARE);
-        }
-        closed.countDown();
-        return 0;
-    }
-
-    /** Keeps the process alive after a signal until the node has drained: a request cut here would be lost. */
-    private static void endAndWait(CountDownLatch ended, CountDownLatch closed) {
-        ended.countDown();
-        try {
-            closed.await();
-            // Without this the exit code would be the signal's, as if the end had not been an orderly one.
-            Runtime.getRuntime().halt(0);
-        } catch (InterruptedException interrupted) {
-            Thread.currentThread().interrupt();
-        }
+        return ProcessRun.serve("wagtaillugd", new Daemon(read.get()));
     }
 }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
@@ -29,6 +29,7 @@
 import org.wagtaillug.daemon.metrics.NodeMetrics;
 import org.wagtaillug.id.OperatorId;
 import org.wagtaillug.log.LogRecord;
+import org.wagtaillug.node.Effect;
 import org.wagtaillug.node.Event;
 import org.wagtaillug.node.Node;
 import org.wagtaillug.result.Refusal;
@@ -48,7 +49,7 @@
     private static final long MILLIS_OF_SECOND = 1000;
     private static final long NEWEST = -1;
 
-    private final ControlThread control;
+    private final ControlThread<Node, Event, Effect> control;
     private final PendingChanges pending;
     private final DecisionLog decisions;
     private final NodeMetrics metrics;
@@ -58,7 +59,7 @@
 
     /** Serves operators. */
     public AdministrationHandler(
-            ControlThread control,
+            ControlThread<Node, Event, Effect> control,
             PendingChanges pending,
             DecisionLog decisions,
             NodeMetrics metrics,
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/control/ControlThread.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/control/ControlThread.java
@@ -13,25 +13,45 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import org.wagtaillug.node.Effect;
-import org.wagtaillug.node.Event;
-import org.wagtaillug.node.Node;
 
-/** Runs all decisions of the node one after the other; everything else hands events to it and gets effects from it. */
-public final class ControlThread implements AutoCloseable {
+/**
+ * Runs all decisions of the node one after the other; everything else hands events to it and gets effects from it.
+ *
+ * @param <N> what decides
+ * @param <E> what happens outside
+ * @param <F> what has to be done
+ */
+public final class ControlThread<N, E, F> implements AutoCloseable {
     private static final Logger LOGGER = System.getLogger(ControlThread.class.getName());
     private static final long TICK_MILLIS = 20;
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
-    private final Node node;
+    private final N node;
+    private final Decide<N, E, F> decide;
+    private final E tick;
     private final MonotonicClock clock;
     private final ScheduledExecutorService executor;
-    private volatile Consumer<Effect> effects = effect -> {};
+    private volatile Consumer<F> effects = effect -> {};
     private volatile long cpuNanos;
 
+    /**
+     * Takes in one event and gives what has to be done, in order.
+     *
+     * @param <N> what decides
+     * @param <E> what happens outside
+     * @param <F> what has to be done
+     */
+    @FunctionalInterface
+    public interface Decide<N, E, F> {
+        /** Takes in one event. */
+        List<F> handle(N node, E event, Instant now);
+    }
+
     /** Prepares the thread; nothing runs before {@link #start}. */
-    public ControlThread(Node node, MonotonicClock clock) {
+    public ControlThread(N node, Decide<N, E, F> decide, E tick, MonotonicClock clock) {
         this.node = node;
+        this.decide = decide;
+        this.tick = tick;
         this.clock = clock;
         this.executor = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "control");
@@ -41,13 +61,13 @@
     }
 
     /** Begins to let time pass; effects go to the given runner, on the control thread. */
-    public void start(Consumer<Effect> runner) {
+    public void start(Consumer<F> runner) {
         effects = runner;
         executor.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Hands in an event from any thread. */
-    public void submit(Event event) {
+    public void submit(E event) {
         try {
             executor.execute(() -> handle(event));
         } catch (RejectedExecutionException closed) {
@@ -56,7 +76,7 @@
     }
 
     /** Reads the node's state on the control thread. */
-    public <T> CompletableFuture<T> query(BiFunction<Node, Instant, T> question) {
+    public <T> CompletableFuture<T> query(BiFunction<N, Instant, T> question) {
         return CompletableFuture.supplyAsync(() -> question.apply(node, clock.now()), executor);
     }
 
@@ -66,28 +86,28 @@
     }
 
     private void tick() {
-        handle(new Event.Tick());
+        handle(tick);
         cpuNanos = THREADS.getCurrentThreadCpuTime();
     }
 
-    private void handle(Event event) {
-        List<Effect> wanted = decide(event);
-        for (Effect effect : wanted) {
+    private void handle(E event) {
+        List<F> wanted = decide(event);
+        for (F effect : wanted) {
             run(effect);
         }
     }
 
     /** A fault in one event must not end the thread: every later request of the node would hang without an answer. */
-    private List<Effect> decide(Event event) {
+    private List<F> decide(E event) {
         try {
-            return node.handle(event, clock.now());
+            return decide.handle(node, event, clock.now());
         } catch (RuntimeException fault) {
             LOGGER.log(Level.ERROR, "event failed: " + event.getClass().getSimpleName(), fault);
             return List.of();
         }
     }
 
-    private void run(Effect effect) {
+    private void run(F effect) {
         try {
             effects.accept(effect);
         } catch (RuntimeException fault) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/metrics/NodeMetrics.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/metrics/NodeMetrics.java
@@ -5,14 +5,9 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryMXBean;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.wagtaillug.dispatch.Attempt;
 import org.wagtaillug.dispatch.AttemptEnd;
@@ -114,12 +109,6 @@
 
     /** All figures in Prometheus's text format. */
     public String text() {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        try {
-            PrometheusTextFormatWriter.create().write(out, registry.scrape());
-        } catch (IOException impossible) {
-            throw new UncheckedIOException("writing into memory does not fail", impossible);
-        }
-        return out.toString(StandardCharsets.UTF_8);
+        return MetricsText.of(registry);
     }
 }
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/PieceCaller.java
@@ -0,0 +1,89 @@
+package org.wagtaillug.daemon.routed;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.HttpMethod;
+import org.wagtaillug.batch.PieceCall;
+import org.wagtaillug.batch.PieceCallEnd;
+import org.wagtaillug.daemon.translation.StageTranslation;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.serving.ServingEvent;
+
+/** Calls stage servers. */
+final class PieceCaller {
+    private static final Logger LOGGER = System.getLogger(PieceCaller.class.getName());
+
+    /** A batch of handles is some kilobytes. */
+    private static final int LONGEST_ANSWER = 1024 * 1024;
+
+    /** A release needs no turn at the server; what is not released goes by its lifetime. */
+    private static final int RELEASE_TIMEOUT_MILLIS = 1000;
+
+    private static final String JSON = "application/json";
+
+    private final HttpClient client;
+    private final StageTranslation translation;
+    private final Consumer<ServingEvent> events;
+    private final Executor traffic;
+
+    PieceCaller(HttpClient client, StageTranslation translation, Consumer<ServingEvent> events, Executor traffic) {
+        this.client = client;
+        this.translation = translation;
+        this.events = events;
+        this.traffic = traffic;
+    }
+
+    /** Makes a call; one event says how it ended. */
+    void call(PieceCall call) {
+        traffic.execute(() -> request(call.upstream(), translation.callPath(), translation.call(call))
+                .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
+                .send(new BufferingResponseListener(LONGEST_ANSWER) {
+                    @Override
+                    public void onComplete(Result result) {
+                        events.accept(new ServingEvent.PieceCallEnded(call.number(), end(call, result, getContent())));
+                    }
+                }));
+    }
+
+    private PieceCallEnd end(PieceCall call, Result result, byte[] content) {
+        if (result.isFailed()) {
+            return new PieceCallEnd.Broken(String.valueOf(result.getFailure()));
+        }
+        byte[] body = content == null ? new byte[0] : content;
+        return translation.answer(
+                call, result.getResponse().getStatus(), result.getResponse().getHeaders(), body);
+    }
+
+    /** Tells a server that results are not needed any more. */
+    void release(Listing maker, List<String> handles) {
+        traffic.execute(() -> request(maker, translation.releasePath(), translation.release(handles))
+                .timeout(RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .send(result -> {
+                    if (result.isFailed()) {
+                        LOGGER.log(
+                                Level.INFO,
+                                "{0} was not told of {1} results that are not needed: {2}",
+                                maker.id(),
+                                handles.size(),
+                                result.getFailure());
+                    }
+                }));
+    }
+
+    private Request request(Listing upstream, String path, byte[] body) {
+        return client.newRequest(upstream.host(), upstream.port())
+                .method(HttpMethod.POST)
+                .path(path)
+                .headers(head -> translation.expect(upstream, head))
+                .body(new BytesRequestContent(JSON, body));
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -0,0 +1,242 @@
+package org.wagtaillug.daemon.routed;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.wagtaillug.daemon.ProcessRun;
+import org.wagtaillug.daemon.control.ControlThread;
+import org.wagtaillug.daemon.control.MonotonicClock;
+import org.wagtaillug.daemon.translation.Translation;
+import org.wagtaillug.feed.RecordDecoder;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.link.PeerLink;
+import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.serving.Serving;
+import org.wagtaillug.serving.ServingEffect;
+import org.wagtaillug.serving.ServingEvent;
+import org.wagtaillug.serving.ServingSetup;
+import org.wagtaillug.settings.RoutedSettings;
+
+/**
+ * A node that routes by host and path: the decisions, the frame around them, and their beginning and end.
+ *
+ * <pre>{@code
+ * RoutedDaemon daemon = new RoutedDaemon(settings, decoder, client -> translation(client));
+ * daemon.start();
+ * }</pre>
+ */
+public final class RoutedDaemon implements ProcessRun.Life {
+    private static final Logger LOGGER = System.getLogger(RoutedDaemon.class.getName());
+
+    /** Callbacks do not block; on one core more threads only take memory. */
+    private static final int THREADS = 10;
+
+    private static final int SELECTORS = 1;
+
+    /** A link delays by a few milliseconds; an opening packet that is lost is sent again after a second. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+
+    /** Servers close idle connections after seconds; a connection that is closed first by us is never lost in between. */
+    private static final Duration UPSTREAM_IDLE = Duration.ofSeconds(2);
+
+    /** What all nodes together may open to a server is shared out by the decisions; this is only a backstop. */
+    private static final int CONNECTIONS_EACH = 64;
+
+    private static final int QUEUED_EACH = 256;
+
+    /** Callers reuse connections that were idle for four fifths of what their limits say, 15 s or less. */
+    private static final Duration CALLER_IDLE = Duration.ofSeconds(60);
+
+    private static final int LONGEST_HEAD = 16_384;
+    private static final Duration LINK_SILENCE = Duration.ofSeconds(1);
+    private static final int READY = 200;
+    private static final int NOT_READY = 503;
+
+    private final RoutedSettings settings;
+    private final MonotonicClock clock = new MonotonicClock();
+    private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
+    private final RoutedExchanges exchanges = new RoutedExchanges();
+    private final RoutedMetrics metrics = new RoutedMetrics();
+    private final HttpClient kept;
+    private final HttpClient fresh;
+    private final Translation translation;
+    private final ControlThread<Serving, ServingEvent, ServingEffect> control;
+    private final NodeId self;
+    private final Server server;
+    private DecisionLines decisions;
+    private PeerLink link;
+    private RoutedHandler handler;
+    private RoutedEffects effects;
+
+    /**
+     * Prepares a node; nothing runs before {@link #start}.
+     *
+     * @param decoder reads the records of feeds
+     * @param translate makes the translation, with the client that it may use for the store
+     */
+    public RoutedDaemon(RoutedSettings settings, RecordDecoder decoder, Function<HttpClient, Translation> translate) {
+        this.settings = settings;
+        threads.setName("traffic");
+        self = new NodeId(settings.node().vm(), clock.now().toEpochMilli());
+        kept = client();
+        fresh = client();
+        translation = translate.apply(kept);
+        ServingSetup.Builder setup = ServingSetup.builder(self, settings.node().domain(), decoder)
+                .repeats(new ServingSetup.Repeats(
+                        settings.repeats().window(),
+                        settings.repeats().ratio(),
+                        settings.repeats().fixed()))
+                .drainGrace(settings.shutdownGrace());
+        settings.seeds().forEach(setup::seed);
+        control = new ControlThread<>(new Serving(setup.build()), Serving::handle, new ServingEvent.Tick(), clock);
+        server = new Server(threads);
+    }
+
+    private HttpClient client() {
+        HttpClient client = new HttpClient();
+        client.setExecutor(threads);
+        client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
+        client.setIdleTimeout(UPSTREAM_IDLE.toMillis());
+        client.setMaxConnectionsPerDestination(CONNECTIONS_EACH);
+        client.setMaxRequestsQueuedPerDestination(QUEUED_EACH);
+        client.setFollowRedirects(false);
+        client.setUserAgentField(null);
+        return client;
+    }
+
+    /** Starts everything; when it returns, all ports listen. */
+    @Override
+    public void start() throws Exception {
+        threads.start();
+        start(kept);
+        start(fresh);
+        decisions = new DecisionLines();
+        handler = new RoutedHandler(translation.callers(), exchanges, control::submit);
+        link = openLink();
+        effects = new RoutedEffects(new RoutedEffects.Parts(
+                exchanges,
+                handler,
+                new UpstreamCaller(
+                        kept, fresh, translation.upstreams(), exchanges, control::submit, clock::now, threads),
+                new PieceCaller(kept, translation.stages(), control::submit, threads),
+                translation,
+                link,
+                settings.listen().link().port(),
+                settings.node().domain(),
+                control::submit,
+                decisions,
+                metrics,
+                clock::now));
+        control.start(effects);
+        listen();
+        LOGGER.log(Level.INFO, "node {0} listens", settings.node().name());
+    }
+
+    /** Answers go on as they come: nothing in the client may follow, decode or answer by itself. */
+    private static void start(HttpClient client) throws Exception {
+        client.start();
+        client.getContentDecoderFactories().clear();
+        client.getProtocolHandlers().clear();
+    }
+
+    private PeerLink openLink() {
+        return PeerLink.builder(self)
+                .bind(settings.listen().link().host(), settings.listen().link().port())
+                .longestSilence(LINK_SILENCE)
+                .handler((sender, message) -> {
+                    if (message instanceof ServingMessage serving) {
+                        control.submit(new ServingEvent.PeerMessageReceived(sender, serving));
+                    }
+                })
+                .open()
+                .get();
+    }
+
+    private void listen() throws Exception {
+        ServerConnector callers = connector(settings.listen().callers());
+        ServerConnector readiness = connector(settings.listen().readiness());
+        ServerConnector administration = connector(settings.listen().administration());
+        server.addConnector(callers);
+        server.addConnector(readiness);
+        server.addConnector(administration);
+        server.setHandler(new Handler.Abstract.NonBlocking() {
+            @Override
+            public boolean handle(Request request, Response response, Callback callback) {
+                Object connector = request.getConnectionMetaData().getConnector();
+                if (connector == callers) {
+                    return handler.handle(request, response, callback);
+                }
+                return connector == readiness ? readiness(response, callback) : metrics(response, callback);
+            }
+        });
+        server.start();
+    }
+
+    private boolean readiness(Response response, Callback callback) {
+        response.setStatus(effects.ready() ? READY : NOT_READY);
+        response.write(true, null, callback);
+        return true;
+    }
+
+    private boolean metrics(Response response, Callback callback) {
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, "text/plain");
+        byte[] text = metrics.text().getBytes(StandardCharsets.UTF_8);
+        response.write(true, ByteBuffer.wrap(text), callback);
+        return true;
+    }
+
+    private ServerConnector connector(RoutedSettings.Address address) {
+        HttpConfiguration http = new HttpConfiguration();
+        http.setSendServerVersion(false);
+        http.setSendDateHeader(false);
+        http.setRequestHeaderSize(LONGEST_HEAD);
+        ServerConnector connector =
+                new ServerConnector(server, null, null, null, 0, SELECTORS, new HttpConnectionFactory(http));
+        connector.setHost(address.host());
+        connector.setPort(address.port());
+        connector.setIdleTimeout(CALLER_IDLE.toMillis());
+        return connector;
+    }
+
+    /** Ends without cutting a request; when it returns, everything that was begun is answered. */
+    @Override
+    public void drain() throws InterruptedException {
+        LOGGER.log(Level.INFO, "node {0} shuts down", settings.node().name());
+        handler.closeConnections();
+        control.submit(new ServingEvent.DrainStarted());
+        long grace = settings.shutdownGrace().toMillis();
+        if (!effects.drained().await(grace, TimeUnit.MILLISECONDS)) {
+            LOGGER.log(
+                    Level.WARNING,
+                    "node {0} did not finish in time",
+                    settings.node().name());
+        }
+    }
+
+    /** Closes all ports and ends all threads. */
+    @Override
+    public void stop() throws Exception {
+        server.stop();
+        kept.stop();
+        fresh.stop();
+        link.close();
+        control.close();
+        decisions.close();
+        threads.stop();
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
@@ -0,0 +1,209 @@
+package org.wagtaillug.daemon.routed;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.wagtaillug.result.Refusal;
+import org.wagtaillug.serving.RoutedRequest;
+
+/**
+ * One caller's open exchange: its request as it came, and its one answer. Safe for use by several threads; writes one
+ * buffer at a time, what comes meanwhile goes out together with the next.
+ */
+final class RoutedExchange {
+    /** The content type of {@link #text}. */
+    static final String REFUSAL_TYPE = "text/plain";
+
+    private final RoutedRequest routed;
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final byte[] body;
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private Optional<CallerWatch> watch = Optional.empty();
+    private Optional<KeptAnswer> failure = Optional.empty();
+    private boolean begun;
+    private boolean writing;
+    private boolean ending;
+    private boolean closed;
+
+    /**
+     * An answer that is here whole.
+     *
+     * @param status its status
+     * @param head its head
+     * @param body its body
+     */
+    record KeptAnswer(int status, HttpFields head, byte[] body) {}
+
+    RoutedExchange(RoutedRequest routed, Request request, Response response, Callback callback, byte[] body) {
+        this.routed = routed;
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.body = body;
+    }
+
+    RoutedRequest routed() {
+        return routed;
+    }
+
+    String method() {
+        return request.getMethod();
+    }
+
+    String path() {
+        return request.getHttpURI().getPathQuery();
+    }
+
+    HttpFields head() {
+        return request.getHeaders();
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    /** Runs {@code gone} when the caller closes its connection before its answer is whole. */
+    synchronized void watch(Runnable gone) {
+        if (!closed && !ending) {
+            watch = Optional.of(CallerWatch.begin(request, gone));
+        }
+    }
+
+    /** Keeps an upstream's failure, which may be passed on. */
+    synchronized void keep(KeptAnswer answer) {
+        failure = Optional.of(answer);
+    }
+
+    /** Passes on the failure that was kept; false if none was. */
+    boolean passFailure() {
+        Optional<KeptAnswer> kept;
+        synchronized (this) {
+            kept = failure;
+        }
+        kept.ifPresent(this::pass);
+        return kept.isPresent();
+    }
+
+    /** Passes on a whole answer. */
+    synchronized void pass(KeptAnswer answer) {
+        begin(answer.status(), answer.head(), answer.body().length);
+        write(answer.body());
+        end();
+    }
+
+    /** Whether the head of an answer has gone out. */
+    synchronized boolean begun() {
+        return begun;
+    }
+
+    /** Sends the head of an answer whose body comes in parts; does nothing once a head was sent. */
+    synchronized void begin(int status, HttpFields head) {
+        begin(status, head, -1);
+    }
+
+    private void begin(int status, HttpFields head, long length) {
+        if (begun || closed) {
+            return;
+        }
+        begun = true;
+        response.setStatus(status);
+        response.getHeaders().add(ConnectionHeaders.without(head));
+        if (length >= 0) {
+            response.getHeaders().put(HttpHeader.CONTENT_LENGTH, length);
+        }
+    }
+
+    /** Sends part of the body. */
+    synchronized void write(byte[] bytes) {
+        if (ending || closed) {
+            return;
+        }
+        pending.writeBytes(bytes);
+        writeNext();
+    }
+
+    /** Ends the answer: it is whole. */
+    synchronized void end() {
+        if (ending || closed) {
+            return;
+        }
+        ending = true;
+        writeNext();
+    }
+
+    /** Closes the connection: the answer has begun and must not look whole. */
+    void cut() {
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            endWatch();
+        }
+        callback.failed(new IOException("the answer broke off at the upstream"));
+    }
+
+    /** Gives a final answer of this node. */
+    synchronized void refuse(Refusal refusal, HttpFields head) {
+        byte[] text = text(refusal);
+        HttpFields.Mutable fields = HttpFields.build(head).put(HttpHeader.CONTENT_TYPE, REFUSAL_TYPE);
+        begin(refusal.code().status(), fields, text.length);
+        write(text);
+        end();
+    }
+
+    /** The body of a refusal: the numbered code and a sentence. */
+    static byte[] text(Refusal refusal) {
+        return (refusal.code().number() + " " + refusal.message() + "\n").getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void endWatch() {
+        watch.ifPresent(CallerWatch::end);
+        watch = Optional.empty();
+    }
+
+    private void writeNext() {
+        boolean nothing = pending.size() == 0 && !ending;
+        if (writing || closed || nothing) {
+            return;
+        }
+        ByteBuffer bytes = ByteBuffer.wrap(pending.toByteArray());
+        pending.reset();
+        writing = true;
+        boolean last = ending;
+        if (last) {
+            // The server reads the next request once the last byte is out; the watch must not read it first.
+            closed = true;
+            endWatch();
+        }
+        response.write(last, bytes, Callback.from(() -> written(last), this::failed));
+    }
+
+    private void written(boolean last) {
+        if (last) {
+            callback.succeeded();
+            return;
+        }
+        synchronized (this) {
+            writing = false;
+            writeNext();
+        }
+    }
+
+    private void failed(Throwable cause) {
+        synchronized (this) {
+            closed = true;
+            endWatch();
+        }
+        callback.failed(cause);
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
@@ -0,0 +1,111 @@
+package org.wagtaillug.daemon.routed;
+
+import io.vavr.control.Either;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.wagtaillug.daemon.translation.CallerTranslation;
+import org.wagtaillug.result.Refusal;
+import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.route.CallerLimits;
+import org.wagtaillug.serving.RoutedRequest;
+import org.wagtaillug.serving.ServingEvent;
+
+/** Takes callers' requests of any host and path. */
+final class RoutedHandler extends Handler.Abstract.NonBlocking {
+    private final CallerTranslation translation;
+    private final RoutedExchanges exchanges;
+    private final Consumer<ServingEvent> events;
+    private volatile CallerLimits limits = CallerLimits.USUAL;
+    private volatile boolean closing;
+
+    RoutedHandler(CallerTranslation translation, RoutedExchanges exchanges, Consumer<ServingEvent> events) {
+        this.translation = translation;
+        this.exchanges = exchanges;
+        this.events = events;
+    }
+
+    /** Sets what callers may send from now on. */
+    void limits(CallerLimits newest) {
+        limits = newest;
+    }
+
+    /** From now on every answer closes its connection, so that callers go to other nodes. */
+    void closeConnections() {
+        closing = true;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        if (closing) {
+            response.getHeaders().put(HttpHeader.CONNECTION, "close");
+        }
+        // The deadline ends a request, not the silence until its answer.
+        request.addIdleTimeoutListener(timeout -> false);
+        int longest = limits.bodyBytes();
+        if (request.getLength() > longest) {
+            refuse(tooLarge(longest), request, response, callback);
+            return true;
+        }
+        Content.Source.asByteArrayAsync(request, longest, new Promise.Invocable.NonBlocking<>() {
+            @Override
+            public void succeeded(byte[] body) {
+                arrived(request, response, callback, body);
+            }
+
+            @Override
+            public void failed(Throwable fault) {
+                boolean large = fault instanceof IllegalStateException;
+                Refusal refusal = large
+                        ? tooLarge(longest)
+                        : Refusal.notRun(ResultCode.BODY_CUT, Duration.ZERO, "the body broke off");
+                refuse(refusal, request, response, callback);
+            }
+        });
+        return true;
+    }
+
+    private static Refusal tooLarge(int longest) {
+        String message = "the body is too long; expected at most " + longest + " bytes";
+        return Refusal.notRun(ResultCode.TOO_LARGE, Duration.ZERO, message);
+    }
+
+    private void arrived(Request request, Response response, Callback callback, byte[] body) {
+        Either<Refusal, RoutedRequest> read =
+                translation.read(host(request), request.getHttpURI().getPathQuery(), request.getHeaders());
+        if (read.isLeft()) {
+            refuse(read.getLeft(), request, response, callback);
+            return;
+        }
+        RoutedExchange exchange = new RoutedExchange(read.get(), request, response, callback, body);
+        if (!exchanges.add(exchange)) {
+            String message =
+                    "a request with the id \"" + read.get().id() + "\" is under way; expected an id of its own";
+            refuse(Refusal.notRun(ResultCode.REQUEST_IN_FLIGHT, Duration.ZERO, message), request, response, callback);
+            return;
+        }
+        events.accept(new ServingEvent.RequestArrived(exchange.routed()));
+        exchange.watch(() ->
+                events.accept(new ServingEvent.CallerLeft(exchange.routed().id())));
+    }
+
+    private static String host(Request request) {
+        String host = request.getHeaders().get(HttpHeader.HOST);
+        return host == null ? "" : host;
+    }
+
+    /** Refuses a request that has no exchange. */
+    private void refuse(Refusal refusal, Request request, Response response, Callback callback) {
+        translation.refuse(refusal, request.getHeaders(), response.getHeaders());
+        response.setStatus(refusal.code().status());
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, RoutedExchange.REFUSAL_TYPE);
+        response.write(true, ByteBuffer.wrap(RoutedExchange.text(refusal)), callback);
+    }
+}
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
@@ -0,0 +1,44 @@
+package org.wagtaillug.daemon.routed;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.time.Duration;
+import java.util.Locale;
+import org.wagtaillug.daemon.metrics.MetricsText;
+import org.wagtaillug.serving.ServingEffect;
+
+/** Counts requests and decisions. Names and labels are listed in docs/OPERATIONS.md. */
+final class RoutedMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double[] SECONDS = {0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Histogram requests = Histogram.builder()
+            .name("wagtaillug_routed_request_seconds")
+            .help("Time from the whole request to the end of its answer, by route and outcome")
+            .labelNames("route", "outcome")
+            .classicUpperBounds(SECONDS)
+            .classicOnly()
+            .register(registry);
+    private final Counter decisions = Counter.builder()
+            .name("wagtaillug_routed_decisions_total")
+            .help("Decisions by kind")
+            .labelNames("kind")
+            .register(registry);
+
+    /** Notes the end of a request. */
+    void finished(String route, ServingEffect.Outcome outcome, Duration took) {
+        requests.labelValues(route, outcome.name().toLowerCase(Locale.ROOT)).observe(took.toNanos() / NANOS_PER_SECOND);
+    }
+
+    /** Notes a decision. */
+    void decided(String kind) {
+        decisions.labelValues(kind).inc();
+    }
+
+    /** All figures in Prometheus's text format. */
+    String text() {
+        return MetricsText.of(registry);
+    }
+}
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
@@ -14,6 +14,7 @@
 import org.wagtaillug.link.generated.StateAskMessage;
 import org.wagtaillug.link.generated.StateReplyMessage;
 import org.wagtaillug.message.PeerMessage;
+import org.wagtaillug.message.ServingMessage;
 
 /** Messages between nodes to and from bytes, with the names of sender and receiver. */
 public final class PeerMessageCodec {
@@ -40,6 +41,7 @@
             case PeerMessage.StateReply reply -> message.setStateReply(encode(reply));
             case PeerMessage.GrantAsk ask -> message.setGrantAsk(GrantCodec.encode(ask));
             case PeerMessage.GrantReply reply -> message.setGrantReply(GrantCodec.encode(reply));
+            case ServingMessage serving -> ServingCodec.encode(serving, message);
         }
         return message.build().toByteArray();
     }
@@ -73,6 +75,8 @@
             case GRANT_ASK -> Either.right(new Envelope(sender, receiver, GrantCodec.decode(message.getGrantAsk())));
             case GRANT_REPLY ->
                 Either.right(new Envelope(sender, receiver, GrantCodec.decode(message.getGrantReply())));
+            case HELLO, FEED_ASK, FEED_HELP, PIECES_WANTED, PIECES_ANSWERED, PIECES_WITHDRAWN, RESULTS_RELEASED ->
+                Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
             case KIND_NOT_SET -> Either.left("a message of " + sender + " is of no kind that this version knows");
         };
     }
--- /dev/null
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -0,0 +1,223 @@
+package org.wagtaillug.link;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wagtaillug.batch.PieceOutcome;
+import org.wagtaillug.batch.StepResult;
+import org.wagtaillug.feed.FeedBatch;
+import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedRecord;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.link.generated.EnvelopeMessage;
+import org.wagtaillug.link.generated.FeedAskMessage;
+import org.wagtaillug.link.generated.FeedHelpMessage;
+import org.wagtaillug.link.generated.FeedNameMessage;
+import org.wagtaillug.link.generated.FeedRecordMessage;
+import org.wagtaillug.link.generated.HelloMessage;
+import org.wagtaillug.link.generated.NotMadeReasonMessage;
+import org.wagtaillug.link.generated.PiecesAnsweredMessage;
+import org.wagtaillug.link.generated.PiecesWantedMessage;
+import org.wagtaillug.link.generated.PiecesWithdrawnMessage;
+import org.wagtaillug.link.generated.ResultsReleasedMessage;
+import org.wagtaillug.link.generated.StepResultMessage;
+import org.wagtaillug.message.ServingMessage;
+
+/** What nodes that route by host and path say, to and from protobuf. */
+final class ServingCodec {
+    private ServingCodec() {}
+
+    static void encode(ServingMessage message, EnvelopeMessage.Builder envelope) {
+        switch (message) {
+            case ServingMessage.Hello hello -> envelope.setHello(encode(hello));
+            case ServingMessage.FeedAsk ask ->
+                envelope.setFeedAsk(
+                        FeedAskMessage.newBuilder().setFeed(encode(ask.feed())).setFrom(ask.from()));
+            case ServingMessage.FeedHelp help -> envelope.setFeedHelp(encode(help));
+            case ServingMessage.PiecesWanted wanted -> envelope.setPiecesWanted(encode(wanted));
+            case ServingMessage.PiecesAnswered answered -> envelope.setPiecesAnswered(encode(answered));
+            case ServingMessage.PiecesWithdrawn withdrawn ->
+                envelope.setPiecesWithdrawn(PiecesWithdrawnMessage.newBuilder().setNumber(withdrawn.number()));
+            case ServingMessage.ResultsReleased released ->
+                envelope.setResultsReleased(
+                        ResultsReleasedMessage.newBuilder().addAllResults(encode(released.results())));
+        }
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @throws IllegalArgumentException if a value is not one that the type allows
+     */
+    static ServingMessage decode(EnvelopeMessage envelope) {
+        return switch (envelope.getKindCase()) {
+            case HELLO -> decode(envelope.getHello());
+            case FEED_ASK ->
+                new ServingMessage.FeedAsk(
+                        decode(envelope.getFeedAsk().getFeed()),
+                        envelope.getFeedAsk().getFrom());
+            case FEED_HELP -> decode(envelope.getFeedHelp());
+            case PIECES_WANTED -> decode(envelope.getPiecesWanted());
+            case PIECES_ANSWERED -> decode(envelope.getPiecesAnswered());
+            case PIECES_WITHDRAWN ->
+                new ServingMessage.PiecesWithdrawn(envelope.getPiecesWithdrawn().getNumber());
+            case RESULTS_RELEASED ->
+                new ServingMessage.ResultsReleased(
+                        decode(envelope.getResultsReleased().getResultsList()));
+            default -> throw new IllegalArgumentException("kind is " + envelope.getKindCase());
+        };
+    }
+
+    private static HelloMessage encode(ServingMessage.Hello hello) {
+        HelloMessage.Builder message = HelloMessage.newBuilder()
+                .setServing(hello.serving())
+                .setConfigurationPosition(hello.positions().getOrDefault(FeedName.CONFIGURATION, 0L))
+                .setDirectoryPosition(hello.positions().getOrDefault(FeedName.DIRECTORY, 0L));
+        hello.heard().forEach(peer -> message.addHeard(peer.value()));
+        return message.build();
+    }
+
+    private static ServingMessage.Hello decode(HelloMessage message) {
+        List<VmId> heard = message.getHeardList().stream().map(VmId::new).toList();
+        Map<FeedName, Long> positions = Map.of(
+                FeedName.CONFIGURATION, message.getConfigurationPosition(),
+                FeedName.DIRECTORY, message.getDirectoryPosition());
+        return new ServingMessage.Hello(message.getServing(), heard, positions);
+    }
+
+    private static FeedNameMessage encode(FeedName name) {
+        return switch (name) {
+            case CONFIGURATION -> FeedNameMessage.FEED_NAME_CONFIGURATION;
+            case DIRECTORY -> FeedNameMessage.FEED_NAME_DIRECTORY;
+        };
+    }
+
+    private static FeedName decode(FeedNameMessage name) {
+        return switch (name) {
+            case FEED_NAME_CONFIGURATION -> FeedName.CONFIGURATION;
+            case FEED_NAME_DIRECTORY -> FeedName.DIRECTORY;
+            case FEED_NAME_UNSPECIFIED, UNRECOGNIZED ->
+                throw new IllegalArgumentException("feed is " + name + "; expected CONFIGURATION or DIRECTORY");
+        };
+    }
+
+    private static FeedHelpMessage encode(ServingMessage.FeedHelp help) {
+        FeedHelpMessage.Builder message = FeedHelpMessage.newBuilder()
+                .setFeed(encode(help.feed()))
+                .setNext(help.batch().next())
+                .setWhole(help.batch().whole());
+        for (FeedRecord record : help.batch().records()) {
+            FeedRecordMessage.Builder encoded =
+                    FeedRecordMessage.newBuilder().setKey(record.key()).setOffset(record.offset());
+            record.value().ifPresent(value -> encoded.setValue(ByteString.copyFrom(value)));
+            message.addRecords(encoded);
+        }
+        return message.build();
+    }
+
+    private static ServingMessage.FeedHelp decode(FeedHelpMessage message) {
+        List<FeedRecord> records = new ArrayList<>();
+        for (FeedRecordMessage record : message.getRecordsList()) {
+            Optional<byte[]> value =
+                    record.hasValue() ? Optional.of(record.getValue().toByteArray()) : Optional.empty();
+            records.add(new FeedRecord(record.getKey(), record.getOffset(), value));
+        }
+        FeedBatch batch = new FeedBatch(message.getNext(), message.getWhole(), records);
+        return new ServingMessage.FeedHelp(decode(message.getFeed()), batch);
+    }
+
+    private static PiecesWantedMessage encode(ServingMessage.PiecesWanted wanted) {
+        PiecesWantedMessage.Builder message = PiecesWantedMessage.newBuilder()
+                .setNumber(wanted.number())
+                .setRequest(wanted.request().value())
+                .setStep(wanted.step())
+                .setPool(wanted.pool().value())
+                .setPieces(wanted.pieces())
+                .addAllInputs(wanted.inputs())
+                .setResultBytes(wanted.resultBytes())
+                .setRank(wanted.rank())
+                .setAimLeft(wanted.aimLeft().toMillis())
+                .setDeadlineLeft(wanted.deadlineLeft().toMillis());
+        wanted.key().ifPresent(message::setKey);
+        return message.build();
+    }
+
+    private static ServingMessage.PiecesWanted decode(PiecesWantedMessage message) {
+        return new ServingMessage.PiecesWanted(
+                message.getNumber(),
+                new RequestId(message.getRequest()),
+                message.getStep(),
+                new PoolId(message.getPool()),
+                message.getPieces(),
+                message.hasKey() ? Optional.of(message.getKey()) : Optional.empty(),
+                message.getInputsList(),
+                message.getResultBytes(),
+                message.getRank(),
+                Duration.ofMillis(message.getAimLeft()),
+                Duration.ofMillis(message.getDeadlineLeft()));
+    }
+
+    private static PiecesAnsweredMessage encode(ServingMessage.PiecesAnswered answered) {
+        PiecesAnsweredMessage.Builder message =
+                PiecesAnsweredMessage.newBuilder().setNumber(answered.number());
+        switch (answered.outcome()) {
+            case PieceOutcome.Made made -> message.addAllResults(encode(made.results()));
+            case PieceOutcome.NotMade notMade ->
+                message.setNotMade(encode(notMade.reason()))
+                        .setRetryAfter(notMade.retryAfter().toMillis());
+        }
+        return message.build();
+    }
+
+    private static ServingMessage.PiecesAnswered decode(PiecesAnsweredMessage message) {
+        PieceOutcome outcome = message.getNotMade() == NotMadeReasonMessage.NOT_MADE_UNSPECIFIED
+                ? new PieceOutcome.Made(decode(message.getResultsList()))
+                : new PieceOutcome.NotMade(decode(message.getNotMade()), Duration.ofMillis(message.getRetryAfter()));
+        return new ServingMessage.PiecesAnswered(message.getNumber(), outcome);
+    }
+
+    private static NotMadeReasonMessage encode(PieceOutcome.Reason reason) {
+        return switch (reason) {
+            case OVERLOADED -> NotMadeReasonMessage.NOT_MADE_OVERLOADED;
+            case LATE -> NotMadeReasonMessage.NOT_MADE_LATE;
+            case INPUTS_GONE -> NotMadeReasonMessage.NOT_MADE_INPUTS_GONE;
+            case FAILED -> NotMadeReasonMessage.NOT_MADE_FAILED;
+            case NO_UPSTREAM -> NotMadeReasonMessage.NOT_MADE_NO_UPSTREAM;
+        };
+    }
+
+    private static PieceOutcome.Reason decode(NotMadeReasonMessage reason) {
+        return switch (reason) {
+            case NOT_MADE_OVERLOADED -> PieceOutcome.Reason.OVERLOADED;
+            case NOT_MADE_LATE -> PieceOutcome.Reason.LATE;
+            case NOT_MADE_INPUTS_GONE -> PieceOutcome.Reason.INPUTS_GONE;
+            case NOT_MADE_NO_UPSTREAM -> PieceOutcome.Reason.NO_UPSTREAM;
+            // A newer program may know more reasons; the pieces are not made all the same.
+            case NOT_MADE_FAILED, NOT_MADE_UNSPECIFIED, UNRECOGNIZED -> PieceOutcome.Reason.FAILED;
+        };
+    }
+
+    private static List<StepResultMessage> encode(List<StepResult> results) {
+        List<StepResultMessage> messages = new ArrayList<>();
+        for (StepResult result : results) {
+            messages.add(StepResultMessage.newBuilder()
+                    .setHandle(result.handle())
+                    .setMaker(result.maker().value())
+                    .build());
+        }
+        return messages;
+    }
+
+    private static List<StepResult> decode(List<StepResultMessage> messages) {
+        List<StepResult> results = new ArrayList<>();
+        for (StepResultMessage message : messages) {
+            results.add(new StepResult(message.getHandle(), new VmId(message.getMaker())));
+        }
+        return results;
+    }
+}
