--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceFiller.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceFiller.java
@@ -5,14 +5,17 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.wagtaillug.batch.PieceCallEnd.PieceAnswer;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.node.Decision;
@@ -38,6 +41,9 @@
     /** How long releases are collected before a server is told. */
     private static final Duration RELEASE_PAUSE = Duration.ofMillis(20);
 
+    /** When a pool that had no room for what is overdue may have some: a few full calls later. */
+    private static final Duration RETRY_OVERDUE = Duration.ofMillis(1000);
+
     /** Never tell a caller to come back sooner. */
     private static final Duration SHORTEST_RETRY = Duration.ofMillis(200);
 
@@ -49,9 +55,13 @@
     private final Map<OrderId, OrderState> orders = new HashMap<>();
     private final Map<OrderId, Told> told = new LinkedHashMap<>();
     private final Map<Long, Calling> calls = new HashMap<>();
+    private final Map<Long, Release> releases = new HashMap<>();
     private long lastCall;
+    private long lastRelease;
     private Instant releaseDue = Instant.EPOCH;
 
+    private record Release(Maker maker, List<String> handles) {}
+
     private record Told(PieceOutcome outcome, Instant at) {}
 
     private record Calling(PieceCall call, List<PieceQueue.Waiting> pieces, Maker maker, Instant startedAt) {
@@ -91,7 +101,7 @@
         orders.put(order.id(), state);
         PieceQueue queue = queues.computeIfAbsent(order.pool(), pool -> new PieceQueue());
         for (int piece = 0; piece < order.pieces(); piece++) {
-            queue.add(new PieceQueue.Waiting(state, piece));
+            queue.add(new PieceQueue.Waiting(state, piece, now));
         }
         dispatch(order.pool(), now);
     }
@@ -102,18 +112,21 @@
         if (usable.isEmpty()) {
             return Optional.of(new PieceOutcome.NotMade(PieceOutcome.Reason.NO_UPSTREAM, SHORTEST_RETRY));
         }
-        Duration wait = expectedWait(order.pool(), contract, usable);
+        Duration wait = expectedWait(order, contract, usable, now);
         Instant made = now.plus(wait).plus(contract.callOf(Math.min(order.pieces(), contract.batch())));
-        if (!made.isAfter(order.urgency().deadline())) {
+        Instant overdue = order.urgency().aim().plus(PieceQueue.LATE_PATIENCE);
+        // A request that comes back after its aim must not be refused for having missed it while the pool is free.
+        boolean inUse = wait.isZero() || !made.isAfter(overdue);
+        if (inUse && !made.isAfter(order.urgency().deadline())) {
             return Optional.empty();
         }
         Duration retryAfter = wait.compareTo(SHORTEST_RETRY) < 0 ? SHORTEST_RETRY : wait;
         return Optional.of(new PieceOutcome.NotMade(PieceOutcome.Reason.OVERLOADED, retryAfter));
     }
 
-    /** How long what waits already keeps the pool busy: its pieces over what full calls get done. */
-    private Duration expectedWait(PoolId pool, PieceContract contract, List<Maker> usable) {
-        PieceQueue queue = queues.get(pool);
+    /** How long what goes before an order keeps the pool busy: its pieces over what full calls get done. */
+    private Duration expectedWait(PieceOrder order, PieceContract contract, List<Maker> usable, Instant now) {
+        PieceQueue queue = queues.get(order.pool());
         if (queue == null || queue.isEmpty()) {
             return Duration.ZERO;
         }
@@ -122,7 +135,7 @@
         for (Maker maker : usable) {
             piecesPerNano += contract.slots() * contract.batch() / (nanosPerCall * Math.max(1, maker.slowness()));
         }
-        return Duration.ofNanos(Math.round(queue.size() / piecesPerNano));
+        return Duration.ofNanos(Math.round(queue.ahead(order.urgency(), now) / piecesPerNano));
     }
 
     /** The node does not want the pieces any more: the request has ended. */
@@ -144,10 +157,7 @@
 
     private void releaseAll(List<StepResult> results) {
         for (StepResult result : results) {
-            maker(result.maker()).ifPresent(maker -> {
-                maker.results().release(result.handle());
-                maker.released().add(result.handle());
-            });
+            maker(result.maker()).ifPresent(maker -> maker.released().add(result.handle()));
         }
     }
 
@@ -181,9 +191,11 @@
         }
         List<Maker> usable = usableMakers(pool);
         usable.sort(Comparator.comparingDouble(Maker::slowness));
+        Set<DomainId> domains = new HashSet<>();
+        usable.forEach(maker -> domains.add(maker.listing().domain()));
         for (Maker maker : usable) {
             while (maker.free(contract.slots(), now) && worthUsing(maker, usable, queue, contract)) {
-                if (!call(maker, queue, contract, now)) {
+                if (!call(maker, domains, queue, contract, now)) {
                     break;
                 }
             }
@@ -200,10 +212,11 @@
         return queue.size() > (callsMeanwhile - 1) * contract.batch();
     }
 
-    private boolean call(Maker maker, PieceQueue queue, PieceContract contract, Instant now) {
+    private boolean call(Maker maker, Set<DomainId> domains, PieceQueue queue, PieceContract contract, Instant now) {
         maker.results().expire(now);
         long room = contract.roomBytes() - maker.results().used();
-        List<PieceQueue.Waiting> pieces = queue.take(contract.batch(), room, now);
+        List<PieceQueue.Waiting> pieces =
+                queue.take(contract.batch(), room, maker.listing().domain(), domains, now);
         if (pieces.isEmpty()) {
             return false;
         }
@@ -324,11 +337,20 @@
     }
 
     private void fail(OrderState state, PieceOutcome.Reason reason, Instant now) {
+        fail(state, new PieceOutcome.NotMade(reason, Duration.ZERO), now);
+    }
+
+    private void fail(OrderState state, PieceOutcome.NotMade outcome, Instant now) {
         if (state.ended()) {
             return;
         }
         releaseAll(state.results());
-        tell(state, new PieceOutcome.NotMade(reason, Duration.ZERO), now);
+        tell(state, outcome, now);
+    }
+
+    /** It would be held while others go first; its caller may find room later. */
+    private void giveUpOverdue(OrderState state, Instant now) {
+        fail(state, new PieceOutcome.NotMade(PieceOutcome.Reason.OVERLOADED, RETRY_OVERDUE), now);
     }
 
     private void tell(OrderState state, PieceOutcome outcome, Instant now) {
@@ -349,6 +371,9 @@
                 fail(state, PieceOutcome.Reason.LATE, now);
             }
             dispatch(entry.getKey(), now);
+            for (OrderState state : entry.getValue().overdue(now)) {
+                giveUpOverdue(state, now);
+            }
         }
         forgetTold(now);
         sendReleases(now);
@@ -370,12 +395,28 @@
         releaseDue = now.plus(RELEASE_PAUSE);
         for (Maker maker : makers.values()) {
             if (!maker.released().isEmpty()) {
-                output.release(maker.listing(), List.copyOf(maker.released()));
+                lastRelease++;
+                List<String> handles = List.copyOf(maker.released());
                 maker.released().clear();
+                releases.put(lastRelease, new Release(maker, handles));
+                output.release(lastRelease, maker.listing(), handles);
             }
         }
     }
 
+    /**
+     * A release is over. Only now the room counts as free: a call that is sent beside a release may have its turn first,
+     * and would find no room for its results.
+     *
+     * @param done whether the server has taken it; if not, the results stay until their lifetime ends
+     */
+    public void onReleaseEnded(long number, boolean done) {
+        Release release = releases.remove(number);
+        if (release != null && done) {
+            release.handles().forEach(release.maker().results()::release);
+        }
+    }
+
     /** What waits for a pool, for the metrics. */
     public int waiting(PoolId pool) {
         PieceQueue queue = queues.get(pool);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceOrder.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceOrder.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 
@@ -17,6 +18,7 @@
  * @param key what a step without inputs works on; empty for one with inputs
  * @param inputs the results that each piece takes
  * @param resultBytes about how large the result of one piece is
+ * @param near the failure domain where most of its inputs lie; empty if it has none
  * @param urgency what goes first
  */
 public record PieceOrder(
@@ -28,6 +30,7 @@
         Optional<String> key,
         List<String> inputs,
         long resultBytes,
+        Optional<DomainId> near,
         Urgency urgency) {
     /** Copies the list. */
     public PieceOrder {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceOutput.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceOutput.java
@@ -12,8 +12,8 @@
     /** Tells the node that wants the pieces what became of them. */
     void outcome(PieceOrder order, PieceOutcome outcome);
 
-    /** Tells a server that results are no longer needed. */
-    void release(Listing maker, List<String> handles);
+    /** Tells a server that results are no longer needed; the end comes back by {@link PieceFiller#onReleaseEnded}. */
+    void release(long number, Listing maker, List<String> handles);
 
     /** Writes a decision to the log. */
     void decided(Decision decision);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceQueue.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceQueue.java
@@ -5,7 +5,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
+import org.wagtaillug.id.DomainId;
 
 /**
  * The pieces that wait for a call to one pool, and which go first.
@@ -15,10 +18,16 @@
  * that cannot, but can meet their deadline, fill what is left of calls.
  */
 final class PieceQueue {
+    /**
+     * How long a piece may wait past its aim. Holding it to its deadline keeps its caller from coming back when there is
+     * room; refusing it at its aim throws away what a pool with time to spare would still do.
+     */
+    static final Duration LATE_PATIENCE = Duration.ofMillis(800);
+
     private final List<Waiting> waiting = new ArrayList<>();
 
     /** One piece that waits. */
-    record Waiting(OrderState state, int piece) {
+    record Waiting(OrderState state, int piece, Instant since) {
         PieceOrder order() {
             return state.order();
         }
@@ -41,27 +50,57 @@
         waiting.removeIf(piece -> piece.state().ended());
     }
 
-    /** The orders that cannot be in time any more even if they were called now. */
-    List<OrderState> hopeless(Instant now) {
-        List<OrderState> found = new ArrayList<>();
+    /** The orders of which no piece could be of use any more even if it were called now. */
+    Set<OrderState> hopeless(Instant now) {
+        Set<OrderState> found = new LinkedHashSet<>();
+        for (Waiting piece : waiting) {
+            if (earliest(piece, now).isAfter(piece.order().urgency().deadline())) {
+                found.add(piece.state());
+            }
+        }
+        return found;
+    }
+
+    /** The orders that have missed their aim for so long that only a pool with time to spare would still take them. */
+    Set<OrderState> overdue(Instant now) {
+        Set<OrderState> found = new LinkedHashSet<>();
         for (Waiting piece : waiting) {
-            Instant earliest = now.plus(piece.state().contract().callOf(1));
-            boolean late = earliest.isAfter(piece.order().urgency().deadline());
-            if (late && !found.contains(piece.state())) {
+            Instant waitsFrom = piece.since();
+            Instant aim = piece.order().urgency().aim();
+            // A caller that came back after its aim gets as much patience as one that was in time when it came.
+            Instant from = aim.isAfter(waitsFrom) ? aim : waitsFrom;
+            if (now.isAfter(from.plus(LATE_PATIENCE))) {
                 found.add(piece.state());
             }
         }
         return found;
     }
 
-    /** Takes the pieces for one call: the most pressing ones, at most so many, that fit into so much room. */
-    List<Waiting> take(int most, long roomBytes, Instant now) {
-        waiting.sort(mostPressingFirst(now));
+    /** How many pieces go before one that arrives now. */
+    int ahead(PieceOrder.Urgency urgency, Instant now) {
+        int ahead = 0;
+        for (Waiting piece : waiting) {
+            if (inTime(piece, now) && piece.order().urgency().rank() <= urgency.rank()) {
+                ahead++;
+            }
+        }
+        return ahead;
+    }
+
+    /**
+     * Takes the pieces for one call: the most pressing ones, at most so many, that fit into so much room.
+     *
+     * @param maker the failure domain of the server
+     * @param domains the failure domains that have a server
+     */
+    List<Waiting> take(int most, long roomBytes, DomainId maker, Set<DomainId> domains, Instant now) {
+        waiting.sort(mostPressingFirst(now, maker));
         List<Waiting> taken = new ArrayList<>();
         long room = roomBytes;
         for (Iterator<Waiting> each = waiting.iterator(); each.hasNext() && taken.size() < most; ) {
             Waiting piece = each.next();
-            if (piece.order().resultBytes() > room) {
+            boolean left = foreign(piece, maker) && canWaitForNearer(piece, domains, now);
+            if (left || piece.order().resultBytes() > room) {
                 continue;
             }
             room -= piece.order().resultBytes();
@@ -71,16 +110,37 @@
         return taken;
     }
 
-    private static Comparator<Waiting> mostPressingFirst(Instant now) {
+    private static boolean foreign(Waiting piece, DomainId maker) {
+        return piece.order().near().isPresent() && !piece.order().near().get().equals(maker);
+    }
+
+    /**
+     * Each piece fetches all results of the step before, so inputs that cross failure domains are the most of what crosses:
+     * a piece is left for a server near them, for one call's time at most and only if it can still be in time after it.
+     */
+    private static boolean canWaitForNearer(Waiting piece, Set<DomainId> domains, Instant now) {
+        Duration call = piece.state().contract().callOf(piece.state().contract().batch());
+        boolean served = domains.contains(piece.order().near().orElseThrow());
+        boolean young = now.isBefore(piece.since().plus(call));
+        boolean slack =
+                now.plus(call.multipliedBy(2)).isBefore(piece.order().urgency().aim());
+        return served && young && slack;
+    }
+
+    private static Comparator<Waiting> mostPressingFirst(Instant now, DomainId maker) {
         return Comparator.comparing((Waiting piece) -> !inTime(piece, now))
                 .thenComparingInt(piece -> piece.order().urgency().rank())
+                .thenComparing(piece -> foreign(piece, maker))
                 .thenComparing(piece -> piece.order().urgency().aim())
                 .thenComparing(piece -> piece.order().id().number())
                 .thenComparingInt(Waiting::piece);
     }
 
     private static boolean inTime(Waiting piece, Instant now) {
-        Duration call = piece.state().contract().callOf(1);
-        return !now.plus(call).isAfter(piece.order().urgency().aim());
+        return !earliest(piece, now).isAfter(piece.order().urgency().aim());
+    }
+
+    private static Instant earliest(Waiting piece, Instant now) {
+        return now.plus(piece.state().contract().callOf(1));
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -8,6 +8,7 @@
 import org.wagtaillug.batch.StepResult;
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
@@ -51,6 +52,7 @@
      * @param key what a step without inputs works on
      * @param inputs the handles that each piece takes
      * @param resultBytes about how large one result is
+     * @param near the failure domain where most of its inputs lie
      * @param rank 0 goes first
      * @param aimLeft the time to the aim, below zero once it has passed
      * @param deadlineLeft the time to the deadline
@@ -64,6 +66,7 @@
             Optional<String> key,
             List<String> inputs,
             long resultBytes,
+            Optional<DomainId> near,
             int rank,
             Duration aimLeft,
             Duration deadlineLeft)
--- a/wagtaillug-core/src/main/java/org/wagtaillug/route/Route.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/route/Route.java
@@ -27,6 +27,7 @@
     private final List<Step> steps;
     private final Duration timeout;
     private final Duration aim;
+    private final Duration firstEventWithin;
     private final int rank;
     private final int attempts;
     private final boolean open;
@@ -49,6 +50,7 @@
         steps = List.copyOf(builder.steps);
         timeout = builder.timeout;
         aim = builder.aim;
+        firstEventWithin = builder.firstEventWithin.compareTo(timeout) < 0 ? builder.firstEventWithin : timeout;
         rank = builder.rank;
         attempts = builder.attempts;
         open = builder.open;
@@ -95,6 +97,11 @@
         return aim;
     }
 
+    /** A caller leaves a stream that has not begun by then; the timeout for what is not a stream. */
+    public Duration firstEventWithin() {
+        return firstEventWithin;
+    }
+
     /** 0 goes first. */
     public int rank() {
         return rank;
@@ -147,6 +154,7 @@
     /** Collects the parts of a {@link Route}. */
     public static final class Builder {
         private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
+        private static final Duration LONGEST = Duration.ofDays(1);
 
         private final RouteId id;
         private final RouteKind kind;
@@ -156,6 +164,7 @@
         private String pathPrefix = "/";
         private Duration timeout = DEFAULT_TIMEOUT;
         private Duration aim = DEFAULT_TIMEOUT;
+        private Duration firstEventWithin = LONGEST;
         private int rank;
         private int attempts = 1;
         private boolean open;
@@ -192,6 +201,12 @@
             return this;
         }
 
+        /** Sets how long a caller waits for the first event of a stream. */
+        public Builder firstEventWithin(Duration patience) {
+            firstEventWithin = patience;
+            return this;
+        }
+
         /** Sets the rank, 0 first. */
         public Builder rank(int newRank) {
             rank = newRank;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -4,7 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.wagtaillug.admission.ColdPace;
@@ -27,8 +30,36 @@
     /** Taken for a server of which nothing is known yet. */
     private static final Duration USUAL_DURATION = Duration.ofMillis(25);
 
-    /** An engine reads a part again in less than a request waits for this many others there. */
-    private static final int WORTH_OF_PREFIX = 3;
+    /** A session's own part lies at one engine. */
+    private static final int HOMES_OF_LAST_PART = 1;
+
+    /** A part that many sessions share lies at one engine in this many: enough for the load, few enough to be read seldom. */
+    private static final int SHARED_HOMES = 4;
+
+    /** What a request that runs at an engine delays the reading of a prompt by, in tokens: its share of the steps. */
+    private static final int TOKENS_OF_A_RUNNING_REQUEST = 150;
+
+    /** A megabyte that crosses failure domains costs as much as reading so many tokens. */
+    private static final int TOKENS_PER_FAR_MEGABYTE = 170;
+
+    private static final int MEGABYTE = 1_000_000;
+
+    /**
+     * What an engine has to read.
+     *
+     * @param parts the parts that other requests may share, in order
+     * @param tokens the length of the whole prompt
+     * @param inputsAt the failure domain where most of its inputs lie
+     * @param inputBytes how large they are
+     */
+    public record Prompt(List<PromptPart> parts, int tokens, Optional<DomainId> inputsAt, long inputBytes) {
+        /** Copies the list. */
+        public Prompt {
+            parts = List.copyOf(parts);
+        }
+    }
+
+    private final Map<VmId, Long> unread = new HashMap<>();
 
     private final UpstreamDirectory directory;
     private final UpstreamHealth health;
@@ -48,10 +79,10 @@
      * The upstream for a request.
      *
      * @param tried upstreams that it must not go to again
-     * @param lastPart the last part of its prompt; empty if it has none
+     * @param prompt what an engine is to read; of no matter to other upstreams
      * @return empty if none may get it now
      */
-    public Optional<Upstream> choose(PoolProfile pool, Set<VmId> tried, Optional<String> lastPart, Instant now) {
+    public Optional<Upstream> choose(PoolProfile pool, Set<VmId> tried, Prompt prompt, Instant now) {
         List<Upstream> open = open(pool, tried, now);
         if (open.isEmpty()) {
             return Optional.empty();
@@ -60,8 +91,8 @@
         trusted.removeIf(upstream -> !health.usable(upstream.id(), now));
         // Servers that failed lately are used again when there is no other: a pool must not go dark by suspicion alone.
         List<Upstream> candidates = trusted.isEmpty() ? open : trusted;
-        if (pool.engine() && lastPart.isPresent()) {
-            return Optional.of(forPrompt(candidates, lastPart.get()));
+        if (pool.engine()) {
+            return Optional.of(forPrompt(candidates, prompt));
         }
         return candidates.stream().min(Comparator.comparing(this::expected).thenComparing(Upstream::id));
     }
@@ -85,24 +116,63 @@
         return upstream.domain().equals(domain) ? all : all.plus(OTHER_DOMAIN);
     }
 
-    /** The engine that rendezvous hashing names for the last part, unless another has clearly fewer under way. */
-    private Upstream forPrompt(List<Upstream> candidates, String lastPart) {
-        int fewest = Integer.MAX_VALUE;
-        for (Upstream upstream : candidates) {
-            fewest = Math.min(fewest, health.inFlight(upstream.id()));
+    /** A request goes to an upstream that has so many tokens to read. */
+    public void onSent(VmId upstream, int tokens) {
+        unread.merge(upstream, (long) tokens, Long::sum);
+    }
+
+    /** The upstream has read them, or will not. */
+    public void onRead(VmId upstream, int tokens) {
+        unread.computeIfPresent(upstream, (id, before) -> before > tokens ? before - tokens : null);
+    }
+
+    /** The engine with the least to read until the answer begins; of equal ones the first by rendezvous hashing. */
+    private Upstream forPrompt(List<Upstream> candidates, Prompt prompt) {
+        String subject =
+                prompt.parts().isEmpty() ? "" : prompt.parts().getLast().id();
+        Map<String, Set<VmId>> homes = new HashMap<>();
+        for (PromptPart part : prompt.parts()) {
+            homes.put(part.id(), homesOf(part, prompt.parts().getLast(), candidates));
         }
         Upstream best = null;
+        long least = Long.MAX_VALUE;
         long highest = Long.MIN_VALUE;
         for (Upstream upstream : candidates) {
-            if (health.inFlight(upstream.id()) > fewest + WORTH_OF_PREFIX) {
-                continue;
-            }
-            long score = rendezvous.score(lastPart, upstream.id().value());
-            if (best == null || score > highest) {
+            long tokens = tokensBefore(upstream, prompt, homes);
+            long score = rendezvous.score(subject, upstream.id().value());
+            if (best == null || tokens < least || (tokens == least && score > highest)) {
                 best = upstream;
+                least = tokens;
                 highest = score;
             }
         }
         return best;
     }
+
+    /** Where a part is likely to lie: every node names the same engines, so requests that share it meet there. */
+    private Set<VmId> homesOf(PromptPart part, PromptPart last, List<Upstream> candidates) {
+        int homes =
+                part.equals(last) ? HOMES_OF_LAST_PART : Math.max(HOMES_OF_LAST_PART, candidates.size() / SHARED_HOMES);
+        List<Upstream> ranked = new ArrayList<>(candidates);
+        ranked.sort(Comparator.comparingLong((Upstream upstream) ->
+                        rendezvous.score(part.id(), upstream.id().value()))
+                .reversed());
+        Set<VmId> ids = new HashSet<>();
+        for (Upstream upstream : ranked.subList(0, Math.min(homes, ranked.size()))) {
+            ids.add(upstream.id());
+        }
+        return ids;
+    }
+
+    private long tokensBefore(Upstream upstream, Prompt prompt, Map<String, Set<VmId>> homes) {
+        long tokens = unread.getOrDefault(upstream.id(), 0L)
+                + (long) health.inFlight(upstream.id()) * TOKENS_OF_A_RUNNING_REQUEST;
+        for (PromptPart part : prompt.parts()) {
+            if (!homes.get(part.id()).contains(upstream.id())) {
+                tokens += part.tokens();
+            }
+        }
+        boolean far = prompt.inputsAt().isPresent() && !prompt.inputsAt().get().equals(upstream.domain());
+        return far ? tokens + prompt.inputBytes() * TOKENS_PER_FAR_MEGABYTE / MEGABYTE : tokens;
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -25,6 +25,7 @@
     private final int rank;
     private final Instant arrivedAt;
     private final Instant deadline;
+    private final Instant beginBy;
     private final PoolId pool;
     private final Map<Integer, List<StepResult>> results = new HashMap<>();
     private final Set<Integer> ordered = new HashSet<>();
@@ -36,6 +37,7 @@
     private int attempt;
     private int ran;
     private int rebuilds;
+    private boolean reading;
     private boolean began;
     private boolean mayHaveRun;
 
@@ -47,6 +49,8 @@
         this.arrivedAt = now;
         Duration patience = request.patience().compareTo(route.timeout()) < 0 ? request.patience() : route.timeout();
         this.deadline = now.plus(patience);
+        Instant firstEvent = now.plus(route.firstEventWithin());
+        this.beginBy = firstEvent.isBefore(deadline) ? firstEvent : deadline;
         this.pool = route.poolOf(request.id());
         this.lastEvent = request.resumesAfter();
     }
@@ -75,6 +79,16 @@
         return deadline;
     }
 
+    /** The caller leaves if its answer has not begun by then. */
+    Instant beginBy() {
+        return beginBy;
+    }
+
+    /** Whether its time is over. */
+    boolean expired(Instant now) {
+        return !now.isBefore(began ? deadline : beginBy);
+    }
+
     PoolId pool() {
         return pool;
     }
@@ -118,13 +132,18 @@
         results.put(step, made);
     }
 
-    /** The handles that a step takes: all pieces of all steps before it. */
-    List<String> inputsOf(Step step) {
-        List<String> handles = new ArrayList<>();
+    /** What a step takes: all pieces of all steps before it. */
+    List<StepResult> inputResultsOf(Step step) {
+        List<StepResult> inputs = new ArrayList<>();
         for (int before : step.after()) {
-            results.getOrDefault(before, List.of()).forEach(result -> handles.add(result.handle()));
+            inputs.addAll(results.getOrDefault(before, List.of()));
         }
-        return handles;
+        return inputs;
+    }
+
+    /** The handles that a step takes. */
+    List<String> inputsOf(Step step) {
+        return inputResultsOf(step).stream().map(StepResult::handle).toList();
     }
 
     boolean stepsMade() {
@@ -136,15 +155,31 @@
         return true;
     }
 
-    /** The handles that the request itself takes: those of the steps that no other step follows. */
-    List<String> inputs() {
-        List<String> handles = new ArrayList<>();
+    /** What the request itself takes: all pieces of the steps that no other step follows. */
+    List<StepResult> inputResults() {
+        List<StepResult> inputs = new ArrayList<>();
+        for (Step step : steps()) {
+            if (!followed(step)) {
+                inputs.addAll(results.getOrDefault(step.number(), List.of()));
+            }
+        }
+        return inputs;
+    }
+
+    /** About how large that is. */
+    long inputBytes() {
+        long bytes = 0;
         for (Step step : steps()) {
             if (!followed(step)) {
-                results.getOrDefault(step.number(), List.of()).forEach(result -> handles.add(result.handle()));
+                bytes += step.resultBytes() * request.piecesOf(step.number());
             }
         }
-        return handles;
+        return bytes;
+    }
+
+    /** The handles that the request itself takes. */
+    List<String> inputs() {
+        return inputResults().stream().map(StepResult::handle).toList();
     }
 
     private boolean followed(Step step) {
@@ -216,10 +251,18 @@
         target = Optional.of(upstream);
         tried.add(upstream.id());
         sentAt = now;
+        reading = true;
         attempt++;
         return attempt;
     }
 
+    /** Notes that the upstream does not read the prompt any more; whether it did. */
+    boolean stopReading() {
+        boolean did = reading;
+        reading = false;
+        return did;
+    }
+
     void unsend() {
         target = Optional.empty();
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -18,6 +18,7 @@
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.health.UpstreamHealth;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
@@ -192,11 +193,21 @@
                         inputs.isEmpty() ? flow.request().pieceKey() : Optional.empty(),
                         inputs,
                         step.resultBytes(),
+                        domainOf(flow.inputResultsOf(step)),
                         StepTimes.urgency(flow, step, configuration)),
                 contract.get(),
                 now);
     }
 
+    /** The failure domain where most of the given results lie. */
+    private Optional<DomainId> domainOf(List<StepResult> results) {
+        Map<DomainId, Integer> counts = new HashMap<>();
+        for (StepResult result : results) {
+            directory.find(result.maker()).ifPresent(maker -> counts.merge(maker.domain(), 1, Integer::sum));
+        }
+        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+    }
+
     void onStepAnswer(StepOrders.Answer answer, Instant now) {
         PieceOrder order = answer.order();
         Flow flow = flows.get(order.request());
@@ -272,10 +283,12 @@
             return;
         }
         Set<VmId> tried = flow.tried();
-        Optional<String> lastPart = flow.request().promptParts().isEmpty()
-                ? Optional.empty()
-                : Optional.of(flow.request().promptParts().getLast());
-        Optional<Upstream> chosen = chooser.choose(pool.get(), tried, lastPart, now);
+        UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
+                flow.request().promptParts(),
+                flow.request().promptTokens(),
+                domainOf(flow.inputResults()),
+                flow.inputBytes());
+        Optional<Upstream> chosen = chooser.choose(pool.get(), tried, prompt, now);
         if (chosen.isEmpty()) {
             waitForUpstream(flow, now);
             return;
@@ -296,6 +309,7 @@
         int attempt = flow.send(upstream, now);
         health.onStarted(upstream.id(), now);
         coldPace.onSent(upstream.id(), now);
+        chooser.onSent(upstream.id(), flow.request().promptTokens());
         boolean stream = flow.route().kind() == RouteKind.STREAM;
         effects.accept(new ServingEffect.Send(new SendOrder(
                 flow.request().id(),
@@ -328,9 +342,23 @@
             flow.began();
             flow.ranSomewhere();
         }
+        stopReading(flow);
         health.onProgress(flow.target().get().id(), now);
-        // The engine has fetched its inputs before its first event.
-        release(flow, flow.unspent());
+        if (!flow.route().resumable()) {
+            // The engine has fetched its inputs before its first event. Another engine that goes on with the stream
+            // would
+            // need them again.
+            release(flow, flow.unspent());
+        }
+    }
+
+    /** The engine has read the prompt, or will not. */
+    private void stopReading(Flow flow) {
+        if (flow.stopReading()) {
+            flow.target()
+                    .ifPresent(upstream ->
+                            chooser.onRead(upstream.id(), flow.request().promptTokens()));
+        }
     }
 
     void onSendEnded(RequestId id, int attempt, SendEnd end, Instant now) {
@@ -339,6 +367,7 @@
             return;
         }
         Upstream upstream = flow.target().get();
+        stopReading(flow);
         flow.unsend();
         note(flow, upstream, end, now);
         switch (end) {
@@ -447,7 +476,12 @@
         refuse(flow, code, COME_BACK, message, now);
     }
 
+    /** Says that a request has not run; only for one that was sent nowhere, or only to upstreams that did not run it. */
     private void refuse(Flow flow, ResultCode code, Duration retryAfter, String message, Instant now) {
+        if (flow.answering() || flow.mayHaveRun()) {
+            giveUp(flow, code, message, now);
+            return;
+        }
         effects.accept(new ServingEffect.Refuse(flow.request().id(), Refusal.notRun(code, retryAfter, message)));
         finish(flow, Outcome.REFUSED, "refused " + code + ": " + message, now);
     }
@@ -488,14 +522,24 @@
     private void endSend(Flow flow) {
         if (flow.target().isPresent()) {
             effects.accept(new ServingEffect.GiveUpSend(flow.request().id(), flow.attempt()));
+            stopReading(flow);
             health.onCancelled(flow.target().get().id());
             flow.unsend();
         }
     }
 
+    /** The process ends before these could be answered: those that were sent nowhere may still be served elsewhere. */
+    void refuseUnsent(Instant now) {
+        for (Flow flow : List.copyOf(flows.values())) {
+            if (flow.target().isEmpty() && !flow.answering()) {
+                refuse(flow, ResultCode.SHUTTING_DOWN, Duration.ZERO, "the node is shutting down", now);
+            }
+        }
+    }
+
     void onTick(Instant now) {
         for (Flow flow : List.copyOf(flows.values())) {
-            if (!now.isBefore(flow.deadline())) {
+            if (flow.expired(now)) {
                 onDeadline(flow, now);
             }
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.routing.PromptPart;
 
 /**
  * What a caller asks, as far as decisions need it; the traffic side keeps head and body.
@@ -15,7 +16,7 @@
  * @param patience how long the caller waits from now
  * @param pieces how many pieces each step has; a step that is not named has none
  * @param pieceKey what steps without inputs work on
- * @param promptParts the ids of the parts of its prompt, in order; empty if it has none
+ * @param promptParts the parts of its prompt, in order; empty if it has none
  * @param promptTokens the length of the prompt, 0 if it has none
  * @param resumesAfter the last event that the caller has of a stream that broke off
  */
@@ -27,7 +28,7 @@
         Duration patience,
         List<Integer> pieces,
         Optional<String> pieceKey,
-        List<String> promptParts,
+        List<PromptPart> promptParts,
         int promptTokens,
         Optional<String> resumesAfter) {
     /** Copies the lists. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -88,6 +88,7 @@
             case ServingEvent.AnswerBegan began -> flows.onAnswerBegan(began.request(), began.attempt(), now);
             case ServingEvent.SendEnded ended -> flows.onSendEnded(ended.request(), ended.attempt(), ended.end(), now);
             case ServingEvent.PieceCallEnded ended -> orders.filler().onCallEnded(ended.call(), ended.end(), now);
+            case ServingEvent.ReleaseEnded ended -> orders.filler().onReleaseEnded(ended.release(), ended.done());
             case ServingEvent.PeerMessageReceived received -> onPeerMessage(received.sender(), received.message(), now);
             case ServingEvent.FeedListed listed -> {
                 FeedReader reader = readers.get(listed.feed());
@@ -118,6 +119,9 @@
         askForHelp(now);
         orders.onTick(now);
         flows.onTick(now);
+        if (shutdown.nearlyOver(now)) {
+            flows.refuseUnsent(now);
+        }
         if (shutdown.finished(flows.idle() && orders.idle(), now)) {
             effects.add(new ServingEffect.DrainFinished());
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
@@ -86,10 +86,11 @@
     /**
      * Tell a stage server that results are not needed any more.
      *
+     * @param release given once in a run of the node
      * @param maker which server
      * @param handles which results
      */
-    record ReleaseResults(Listing maker, List<String> handles) implements ServingEffect {}
+    record ReleaseResults(long release, Listing maker, List<String> handles) implements ServingEffect {}
 
     /**
      * Say something to another node; it may be lost.
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -53,6 +53,14 @@
      */
     record PieceCallEnded(long call, PieceCallEnd end) implements ServingEvent {}
 
+    /**
+     * A release is over; once for each {@link ServingEffect.ReleaseResults}.
+     *
+     * @param release its number
+     * @param done whether the server has taken it
+     */
+    record ReleaseEnded(long release, boolean done) implements ServingEvent {}
+
     /**
      * Another node said something.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Shutdown.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Shutdown.java
@@ -12,6 +12,9 @@
     /** The balancer asks once a second and takes a node out after two misses; half a second for requests on their way. */
     private static final Duration BALANCER_NOTICES = Duration.ofMillis(2500);
 
+    /** What has not been sent anywhere by then would not be answered before the process ends. */
+    private static final Duration TO_ANSWER = Duration.ofMillis(2000);
+
     /** What is left of the grace for the process to close its sockets. */
     private static final Duration TO_EXIT = Duration.ofMillis(400);
 
@@ -33,6 +36,12 @@
         return startedAt.isPresent();
     }
 
+    /** Whether what has not been sent anywhere has to be refused. */
+    boolean nearlyOver(Instant now) {
+        return startedAt.isPresent()
+                && !now.isBefore(startedAt.get().plus(grace).minus(TO_ANSWER));
+    }
+
     /** True once: when the process may end. */
     boolean finished(boolean idle, Instant now) {
         if (finished || startedAt.isEmpty()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -120,6 +120,7 @@
                         order.key(),
                         order.inputs(),
                         order.resultBytes(),
+                        order.near(),
                         order.urgency().rank(),
                         Duration.between(now, order.urgency().aim()),
                         Duration.between(now, order.urgency().deadline()))));
@@ -169,6 +170,7 @@
                 wanted.key(),
                 wanted.inputs(),
                 wanted.resultBytes(),
+                wanted.near(),
                 urgency);
         filler.onOrder(order, contract, now);
     }
@@ -246,8 +248,8 @@
         }
 
         @Override
-        public void release(Listing maker, List<String> handles) {
-            effects.accept(new ServingEffect.ReleaseResults(maker, handles));
+        public void release(long number, Listing maker, List<String> handles) {
+            effects.accept(new ServingEffect.ReleaseResults(number, maker, handles));
         }
 
         @Override
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepTimes.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepTimes.java
@@ -22,7 +22,7 @@
                 .plus(ENGINE_START)
                 .plusMillis(flow.request().promptTokens() / TOKENS_PER_MILLI);
         Instant aim = flow.arrivedAt().plus(flow.route().aim()).minus(rest);
-        return new Urgency(flow.rank(), aim, flow.deadline().minus(rest));
+        return new Urgency(flow.rank(), aim, flow.beginBy().minus(rest));
     }
 
     /** The longest way through the steps that follow one. */
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/ProcessRun.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/ProcessRun.java
@@ -13,6 +13,9 @@
         /** Starts everything. */
         void start() throws Exception;
 
+        /** Reads the settings again. */
+        default void reload() throws Exception {}
+
         /** Finishes what was begun. */
         void drain() throws Exception;
 
@@ -30,6 +33,7 @@
         CountDownLatch ended = new CountDownLatch(1);
         CountDownLatch closed = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> endAndWait(ended, closed), "end"));
+        HangUp.handle(life);
         try {
             life.start();
             ended.await();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/PieceCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/PieceCaller.java
@@ -2,7 +2,6 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -16,6 +15,7 @@
 import org.wagtaillug.batch.PieceCallEnd;
 import org.wagtaillug.daemon.translation.StageTranslation;
 import org.wagtaillug.directory.Listing;
+import org.wagtaillug.serving.ServingEffect;
 import org.wagtaillug.serving.ServingEvent;
 
 /** Calls stage servers. */
@@ -28,6 +28,7 @@
     /** A release needs no turn at the server; what is not released goes by its lifetime. */
     private static final int RELEASE_TIMEOUT_MILLIS = 1000;
 
+    private static final int OK = 200;
     private static final String JSON = "application/json";
 
     private final HttpClient client;
@@ -63,19 +64,22 @@
                 call, result.getResponse().getStatus(), result.getResponse().getHeaders(), body);
     }
 
-    /** Tells a server that results are not needed any more. */
-    void release(Listing maker, List<String> handles) {
-        traffic.execute(() -> request(maker, translation.releasePath(), translation.release(handles))
+    /** Tells a server that results are not needed any more; one event says whether it has heard. */
+    void release(ServingEffect.ReleaseResults release) {
+        traffic.execute(() -> request(
+                        release.maker(), translation.releasePath(), translation.release(release.handles()))
                 .timeout(RELEASE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
                 .send(result -> {
-                    if (result.isFailed()) {
+                    boolean done = result.isSucceeded() && result.getResponse().getStatus() == OK;
+                    if (!done) {
                         LOGGER.log(
                                 Level.INFO,
                                 "{0} was not told of {1} results that are not needed: {2}",
-                                maker.id(),
-                                handles.size(),
+                                release.maker().id(),
+                                release.handles().size(),
                                 result.getFailure());
                     }
+                    events.accept(new ServingEvent.ReleaseEnded(release.release(), done));
                 }));
     }
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -1,10 +1,13 @@
 package org.wagtaillug.daemon.routed;
 
+import io.vavr.control.Either;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
@@ -31,12 +34,13 @@
 import org.wagtaillug.serving.ServingEvent;
 import org.wagtaillug.serving.ServingSetup;
 import org.wagtaillug.settings.RoutedSettings;
+import org.wagtaillug.settings.SettingsProblem;
 
 /**
  * A node that routes by host and path: the decisions, the frame around them, and their beginning and end.
  *
  * <pre>{@code
- * RoutedDaemon daemon = new RoutedDaemon(settings, decoder, client -> translation(client));
+ * RoutedDaemon daemon = new RoutedDaemon(file, settings, decoder, client -> translation(client));
  * daemon.start();
  * }</pre>
  */
@@ -67,6 +71,7 @@
     private static final int READY = 200;
     private static final int NOT_READY = 503;
 
+    private final Path file;
     private final RoutedSettings settings;
     private final MonotonicClock clock = new MonotonicClock();
     private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 4);
@@ -86,10 +91,13 @@
     /**
      * Prepares a node; nothing runs before {@link #start}.
      *
+     * @param file where the settings were read from
      * @param decoder reads the records of feeds
      * @param translate makes the translation, with the client that it may use for the store
      */
-    public RoutedDaemon(RoutedSettings settings, RecordDecoder decoder, Function<HttpClient, Translation> translate) {
+    public RoutedDaemon(
+            Path file, RoutedSettings settings, RecordDecoder decoder, Function<HttpClient, Translation> translate) {
+        this.file = file;
         this.settings = settings;
         threads.setName("traffic");
         self = new NodeId(settings.node().vm(), clock.now().toEpochMilli());
@@ -228,6 +236,18 @@
         }
     }
 
+    /** Says whether the settings file differs from what this process runs with; a restart takes what has changed. */
+    @Override
+    public void reload() {
+        Either<List<SettingsProblem>, RoutedSettings> read = RoutedSettings.load(file);
+        if (read.isLeft()) {
+            LOGGER.log(Level.ERROR, "reload: the settings are wrong, the old ones hold: {0}", read.getLeft());
+            return;
+        }
+        String outcome = read.get().equals(settings) ? "nothing has changed" : "changes hold from the next start";
+        LOGGER.log(Level.INFO, "reload: {0}", outcome);
+    }
+
     /** Closes all ports and ends all threads. */
     @Override
     public void stop() throws Exception {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -66,7 +66,7 @@
             case ServingEffect.Cut cut -> parts.exchanges().find(cut.request()).ifPresent(RoutedExchange::cut);
             case ServingEffect.Finished finished -> finish(finished);
             case ServingEffect.CallPieces call -> parts.pieces().call(call.call());
-            case ServingEffect.ReleaseResults release -> parts.pieces().release(release.maker(), release.handles());
+            case ServingEffect.ReleaseResults release -> parts.pieces().release(release);
             case ServingEffect.SendToPeer send -> parts.link().send(send.receiver(), send.message());
             case ServingEffect.PeersChanged changed -> connect(changed);
             case ServingEffect.ReadFeed read ->
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
@@ -153,7 +153,16 @@
     }
 
     /** Gives a final answer of this node. */
-    synchronized void refuse(Refusal refusal, HttpFields head) {
+    void refuse(Refusal refusal, HttpFields head) {
+        if (begun()) {
+            // Anything that is added now would end the answer as if it were whole.
+            cut();
+            return;
+        }
+        write(refusal, head);
+    }
+
+    private synchronized void write(Refusal refusal, HttpFields head) {
         byte[] text = text(refusal);
         HttpFields.Mutable fields = HttpFields.build(head).put(HttpHeader.CONTENT_TYPE, REFUSAL_TYPE);
         begin(refusal.code().status(), fields, text.length);
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -11,6 +11,7 @@
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedRecord;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
@@ -144,6 +145,7 @@
                 .setAimLeft(wanted.aimLeft().toMillis())
                 .setDeadlineLeft(wanted.deadlineLeft().toMillis());
         wanted.key().ifPresent(message::setKey);
+        wanted.near().ifPresent(domain -> message.setNear(domain.value()));
         return message.build();
     }
 
@@ -157,6 +159,7 @@
                 message.hasKey() ? Optional.of(message.getKey()) : Optional.empty(),
                 message.getInputsList(),
                 message.getResultBytes(),
+                message.hasNear() ? Optional.of(new DomainId(message.getNear())) : Optional.empty(),
                 message.getRank(),
                 Duration.ofMillis(message.getAimLeft()),
                 Duration.ofMillis(message.getDeadlineLeft()));
