--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceFiller.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceFiller.java
@@ -309,6 +309,9 @@
         for (int place = 0; place < calling.pieces().size(); place++) {
             PieceQueue.Waiting piece = calling.pieces().get(place);
             PieceAnswer answer = place < answers.size() ? answers.get(place) : new PieceAnswer.Failed();
+            if (!(answer instanceof PieceAnswer.Made)) {
+                logNotMade(calling, piece, answer, now);
+            }
             switch (answer) {
                 case PieceAnswer.Made made -> onMade(calling, piece, made.handle(), now);
                 case PieceAnswer.Late ignored -> fail(piece.state(), PieceOutcome.Reason.LATE, now);
@@ -322,6 +325,18 @@
         }
     }
 
+    private void logNotMade(Calling calling, PieceQueue.Waiting piece, PieceAnswer answer, Instant now) {
+        output.decided(Decision.builder("piece_not_made")
+                .field("request", piece.order().request())
+                .field("step", piece.order().step())
+                .field("piece", piece.piece())
+                .field("call", calling.call().number())
+                .field("upstream", calling.call().upstream().id())
+                .field("answer", answer.getClass().getSimpleName())
+                .field("waited_ms", Duration.between(piece.since(), now).toMillis())
+                .build());
+    }
+
     private void onMade(Calling calling, PieceQueue.Waiting piece, String handle, Instant now) {
         OrderState state = piece.state();
         StepResult result = new StepResult(handle, calling.call().upstream().id());
