An order that is answered twice keeps its results

Cause: an order that is said again after 600 ms while its answer is on the way is answered twice; the second answer was taken for results that nobody wants and they were released, so the next step found its inputs gone.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -33,12 +34,21 @@
     /** A little above the time of a full call, so that most orders are said once. */
     private static final Duration SAY_AGAIN = Duration.ofMillis(600);
 
+    /** So many answers are remembered; at a hundred orders a second they reach back for more than the longest request. */
+    private static final int MOST_TAKEN = 4096;
+
     private final NodeId self;
     private final Peers peers;
     private final Consumer<ServingEffect> effects;
     private final BooleanSupplier takesWork;
     private final PieceFiller filler;
     private final Map<Long, Outstanding> outstanding = new HashMap<>();
+    private final Map<Long, VmId> taken = new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, VmId> eldest) {
+            return size() > MOST_TAKEN;
+        }
+    };
     private Consumer<Answer> answers = answer -> {};
     private long lastNumber;
 
@@ -188,10 +198,16 @@
     private void answer(long number, PieceOutcome outcome, VmId fillerNode) {
         Outstanding one = outstanding.remove(number);
         if (one != null) {
+            taken.put(number, fillerNode);
             answers.accept(new Answer(one.order, outcome, fillerNode));
             return;
         }
-        if (outcome instanceof PieceOutcome.Made made) {
+        // An order that is said again while its answer is on the way is answered twice. Taking the second word for
+        // results
+        // that nobody wants would release those that the request is about to use, and its next step would find them
+        // gone.
+        boolean saidAgain = fillerNode.equals(taken.get(number));
+        if (!saidAgain && outcome instanceof PieceOutcome.Made made) {
             // The request has ended meanwhile, or another node made the same pieces.
             release(fillerNode, made.results());
         }
