--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -0,0 +1,360 @@
+package org.wagtaillug.serving;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.wagtaillug.batch.PieceCall;
+import org.wagtaillug.batch.PieceCallEnd;
+import org.wagtaillug.batch.PieceCallEnd.PieceAnswer;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.feed.ConfigurationItem;
+import org.wagtaillug.feed.DirectoryItem;
+import org.wagtaillug.feed.FeedBatch;
+import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedReader;
+import org.wagtaillug.feed.FeedRecord;
+import org.wagtaillug.feed.RecordDecoder;
+import org.wagtaillug.id.CustomerId;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.RouteId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.route.CallerLimits;
+import org.wagtaillug.route.Customer;
+import org.wagtaillug.route.PieceContract;
+import org.wagtaillug.route.PoolProfile;
+import org.wagtaillug.route.Route;
+import org.wagtaillug.route.RouteKind;
+import org.wagtaillug.route.RouteTable;
+import org.wagtaillug.route.ServingConfiguration;
+import org.wagtaillug.route.Step;
+
+/**
+ * Several nodes with a store, stage servers and messages between them, all in memory and on one clock. Upstreams of
+ * requests do nothing by themselves: a test says how each attempt ends.
+ */
+final class ServingWorld {
+    static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    static final PoolId ORDERS = new PoolId("orders");
+    static final PoolId ENCODE = new PoolId("encode");
+    static final PoolId RANK = new PoolId("rank");
+    static final PoolId MODEL = new PoolId("model");
+    static final DomainId NORTH = new DomainId("north");
+    static final DomainId SOUTH = new DomainId("south");
+    static final String KEY = "key-of-office";
+
+    /** 150 ms a call and 20 ms a piece, six pieces a call, room for forty results of 10 kB. */
+    static final PieceContract PIECES =
+            new PieceContract(1, 6, Duration.ofMillis(150), Duration.ofMillis(20), 400_000, Duration.ofSeconds(4));
+
+    private static final Duration STEP = Duration.ofMillis(20);
+    private static final Duration MESSAGE_DELAY = Duration.ofMillis(2);
+
+    final Map<VmId, Serving> nodes = new HashMap<>();
+    final Map<VmId, List<ServingEffect>> said = new HashMap<>();
+    final List<PieceCall> pieceCalls = new ArrayList<>();
+    final Map<String, Integer> released = new HashMap<>();
+    final Set<VmId> cutFromStore = new HashSet<>();
+    final Set<VmId> dead = new HashSet<>();
+    final Map<FeedName, List<FeedRecord>> store = new HashMap<>();
+    Duration answerDelay = MESSAGE_DELAY;
+    Instant now = START;
+    private final Map<String, Object> contents = new HashMap<>();
+    private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>();
+    private long sequence;
+    private int results;
+
+    private record Delivery(Instant at, long number, VmId node, ServingEvent event) implements Comparable<Delivery> {
+        @Override
+        public int compareTo(Delivery other) {
+            int byTime = at.compareTo(other.at);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    /** Starts nodes of which each knows the first one as its seed. */
+    ServingWorld(int count) {
+        for (FeedName name : FeedName.values()) {
+            store.put(name, new ArrayList<>());
+        }
+        for (int number = 1; number <= count; number++) {
+            start(node(number), 1);
+        }
+    }
+
+    static VmId node(int number) {
+        return new VmId("node-" + number);
+    }
+
+    /** Starts a node, or starts it anew. */
+    void start(VmId vm, long incarnation) {
+        dead.remove(vm);
+        ServingSetup setup = ServingSetup.builder(new NodeId(vm, incarnation), NORTH, decoder())
+                .seed(node(1))
+                .build();
+        nodes.put(vm, new Serving(setup));
+        said.computeIfAbsent(vm, id -> new ArrayList<>());
+    }
+
+    private RecordDecoder decoder() {
+        return new RecordDecoder() {
+            @Override
+            public ConfigurationItem configuration(FeedRecord record) {
+                return (ConfigurationItem) contents.get(text(record));
+            }
+
+            @Override
+            public DirectoryItem directory(FeedRecord record) {
+                return record.value().isEmpty()
+                        ? new DirectoryItem.Removed(new VmId(record.key()))
+                        : (DirectoryItem) contents.get(text(record));
+            }
+        };
+    }
+
+    private static String text(FeedRecord record) {
+        return new String(record.value().orElseThrow(), StandardCharsets.UTF_8);
+    }
+
+    /** Writes to the store. */
+    void write(FeedName feed, String key, Object content) {
+        String name = feed + "/" + store.get(feed).size();
+        contents.put(name, content);
+        Optional<byte[]> value = Optional.of(name.getBytes(StandardCharsets.UTF_8));
+        store.get(feed).add(new FeedRecord(key, store.get(feed).size(), value));
+    }
+
+    /** Removes a key from the store. */
+    void remove(FeedName feed, String key) {
+        store.get(feed).add(new FeedRecord(key, store.get(feed).size(), Optional.empty()));
+    }
+
+    void publish(ServingConfiguration configuration) {
+        write(FeedName.CONFIGURATION, "config", new ConfigurationItem.Published(configuration));
+    }
+
+    void list(String id, PoolId pool, DomainId domain, boolean leaving, Duration coldFor) {
+        Listing listing = new Listing(new VmId(id), 1, pool, "10.0.0.1", 80, domain, leaving, coldFor);
+        write(FeedName.DIRECTORY, id, new DirectoryItem.Listed(listing));
+    }
+
+    /** Lists two servers of each pool, one in each failure domain, publishes all routes and lets nodes learn of it. */
+    void usual() {
+        for (PoolId pool : List.of(ORDERS, ENCODE, RANK, MODEL)) {
+            list(pool + "-1", pool, NORTH, false, Duration.ZERO);
+            list(pool + "-2", pool, SOUTH, false, Duration.ZERO);
+        }
+        publish(configuration(1));
+        run(Duration.ofSeconds(2));
+    }
+
+    static ServingConfiguration configuration(long version) {
+        List<Route> routes = List.of(
+                route("confirm", RouteKind.ONCE, 1, false).pool(ORDERS, 1).build(),
+                route("lookup", RouteKind.IDEMPOTENT, 2, false).pool(ORDERS, 1).build(),
+                route("draft", RouteKind.STREAM, 1, false)
+                        .pool(MODEL, 1)
+                        .step(new Step(0, ENCODE, List.of(), 10_000))
+                        .build(),
+                route("question", RouteKind.STREAM, 2, true)
+                        .pool(MODEL, 1)
+                        .step(new Step(0, ENCODE, List.of(), 10_000))
+                        .step(new Step(1, RANK, List.of(0), 10_000))
+                        .build());
+        Map<PoolId, PoolProfile> pools = new HashMap<>();
+        pools.put(ORDERS, new PoolProfile(ORDERS, 120, 0, Optional.empty(), false));
+        pools.put(ENCODE, new PoolProfile(ENCODE, 120, 0, Optional.of(PIECES), false));
+        pools.put(RANK, new PoolProfile(RANK, 120, 0, Optional.of(PIECES), false));
+        pools.put(MODEL, new PoolProfile(MODEL, 120, 8, Optional.empty(), true));
+        Customer office = new Customer(new CustomerId("office"), OptionalInt.empty());
+        return new ServingConfiguration(
+                version, new RouteTable(routes), pools, CallerLimits.USUAL, Map.of(KEY, office));
+    }
+
+    private static Route.Builder route(String name, RouteKind kind, int attempts, boolean resumable) {
+        return Route.builder(new RouteId(name), kind)
+                .place("shop.example", "/" + name + "/")
+                .times(Duration.ofSeconds(6), Duration.ofMillis(1500))
+                .firstEventWithin(Duration.ofSeconds(5))
+                .attempts(attempts)
+                .resumable(resumable);
+    }
+
+    /** A caller's request to a route of its name. */
+    RequestId ask(int node, String route, Integer... pieces) {
+        sequence++;
+        RequestId id = new RequestId(route + "-" + sequence);
+        ask(node, id, "/" + route + "/1", Optional.of(KEY), pieces);
+        return id;
+    }
+
+    void ask(int node, RequestId id, String path, Optional<String> key, Integer... pieces) {
+        handle(
+                node(node),
+                new ServingEvent.RequestArrived(new RoutedRequest(
+                        id,
+                        "shop.example",
+                        path,
+                        key,
+                        Duration.ofSeconds(6),
+                        List.of(pieces),
+                        Optional.of("piece-key"),
+                        List.of(),
+                        1000,
+                        Optional.empty())));
+    }
+
+    /** Hands an event to a node and carries out what it wants. */
+    void handle(VmId vm, ServingEvent event) {
+        if (dead.contains(vm)) {
+            return;
+        }
+        for (ServingEffect effect : nodes.get(vm).handle(event, now)) {
+            said.get(vm).add(effect);
+            carryOut(vm, effect);
+        }
+    }
+
+    private void carryOut(VmId vm, ServingEffect effect) {
+        switch (effect) {
+            case ServingEffect.ReadFeed read -> read(vm, read);
+            case ServingEffect.SendToPeer send ->
+                later(
+                        MESSAGE_DELAY.plus(delay(send)),
+                        send.receiver(),
+                        new ServingEvent.PeerMessageReceived(new NodeId(vm, 1), send.message()));
+            case ServingEffect.CallPieces call -> callPieces(vm, call.call());
+            case ServingEffect.ReleaseResults release -> {
+                release.handles().forEach(handle -> released.merge(handle, 1, Integer::sum));
+                later(MESSAGE_DELAY, vm, new ServingEvent.ReleaseEnded(release.release(), true));
+            }
+            default -> {
+                // Read from said by the tests.
+            }
+        }
+    }
+
+    private Duration delay(ServingEffect.SendToPeer send) {
+        boolean answer = send.message() instanceof ServingMessage.PiecesAnswered;
+        return answer ? answerDelay.minus(MESSAGE_DELAY) : Duration.ZERO;
+    }
+
+    private void read(VmId vm, ServingEffect.ReadFeed read) {
+        if (cutFromStore.contains(vm)) {
+            later(Duration.ofMillis(900), vm, new ServingEvent.FeedFailed(read.feed(), "cut off"));
+            return;
+        }
+        List<FeedRecord> all = store.get(read.feed());
+        switch (read.read()) {
+            case FeedReader.Read.Newest ignored -> {
+                Map<String, FeedRecord> newest = new HashMap<>();
+                all.forEach(record -> newest.put(record.key(), record));
+                newest.values().removeIf(record -> record.value().isEmpty());
+                later(
+                        MESSAGE_DELAY,
+                        vm,
+                        new ServingEvent.FeedListed(read.feed(), List.copyOf(newest.values()), false, all.size()));
+            }
+            case FeedReader.Read.From from -> {
+                List<FeedRecord> rest = all.subList((int) Math.min(from.from(), all.size()), all.size());
+                Duration wait = rest.isEmpty() ? from.longestWait().dividedBy(10) : Duration.ZERO;
+                FeedBatch batch = new FeedBatch(all.size(), false, List.copyOf(rest));
+                later(MESSAGE_DELAY.plus(wait), vm, new ServingEvent.FeedRead(read.feed(), batch));
+            }
+        }
+    }
+
+    private void callPieces(VmId vm, PieceCall call) {
+        pieceCalls.add(call);
+        List<PieceAnswer> answers = new ArrayList<>();
+        for (int item = 0; item < call.items().size(); item++) {
+            results++;
+            answers.add(new PieceAnswer.Made("result-" + results));
+        }
+        later(
+                PIECES.callOf(call.items().size()),
+                vm,
+                new ServingEvent.PieceCallEnded(call.number(), new PieceCallEnd.Answered(answers)));
+    }
+
+    private void later(Duration delay, VmId vm, ServingEvent event) {
+        sequence++;
+        deliveries.add(new Delivery(now.plus(delay), sequence, vm, event));
+    }
+
+    /** Lets time pass. */
+    void run(Duration time) {
+        Instant end = now.plus(time);
+        while (now.isBefore(end)) {
+            Instant next = now.plus(STEP);
+            while (!deliveries.isEmpty() && !deliveries.peek().at().isAfter(next)) {
+                Delivery delivery = deliveries.poll();
+                now = delivery.at().isAfter(now) ? delivery.at() : now;
+                handle(delivery.node(), delivery.event());
+            }
+            now = next;
+            for (VmId vm : List.copyOf(nodes.keySet())) {
+                handle(vm, new ServingEvent.Tick());
+            }
+        }
+    }
+
+    /** The attempts that any node sent for a request. */
+    List<SendOrder> sends(RequestId request) {
+        List<SendOrder> sends = new ArrayList<>();
+        for (List<ServingEffect> effects : said.values()) {
+            for (ServingEffect effect : effects) {
+                if (effect instanceof ServingEffect.Send send
+                        && send.order().request().equals(request)) {
+                    sends.add(send.order());
+                }
+            }
+        }
+        return sends;
+    }
+
+    /** The final refusals of a request. */
+    List<ServingEffect.Refuse> refusals(RequestId request) {
+        return all(ServingEffect.Refuse.class).stream()
+                .filter(refuse -> refuse.request().equals(request))
+                .toList();
+    }
+
+    /** All effects of a kind. */
+    <T extends ServingEffect> List<T> all(Class<T> kind) {
+        List<T> found = new ArrayList<>();
+        said.values()
+                .forEach(effects -> effects.forEach(effect -> {
+                    if (kind.isInstance(effect)) {
+                        found.add(kind.cast(effect));
+                    }
+                }));
+        return found;
+    }
+
+    /** Ends the newest attempt of a request. */
+    void end(int node, RequestId request, SendEnd end) {
+        handle(
+                node(node),
+                new ServingEvent.SendEnded(request, sends(request).getLast().attempt(), end));
+    }
+
+    /** The upstream of the newest attempt begins a good answer. */
+    void begin(int node, RequestId request) {
+        handle(
+                node(node),
+                new ServingEvent.AnswerBegan(request, sends(request).getLast().attempt()));
+    }
+}
