--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -327,6 +327,8 @@
                 .field("incarnation", upstream.listing().incarnation())
                 .field("domain", upstream.domain())
                 .field("in_flight", health.inFlight(upstream.id()))
+                .field("prompt_tokens", flow.request().promptTokens())
+                .field("inputs", flow.inputs().size())
                 .field(
                         "since_arrival_ms",
                         Duration.between(flow.arrivedAt(), now).toMillis())
@@ -343,6 +345,14 @@
             flow.ranSomewhere();
         }
         stopReading(flow);
+        log("answer_began", id)
+                .field("attempt", attempt)
+                .field("upstream", flow.target().get().id())
+                .field(
+                        "since_arrival_ms",
+                        Duration.between(flow.arrivedAt(), now).toMillis())
+                .field("since_sent_ms", Duration.between(flow.sentAt(), now).toMillis())
+                .write();
         health.onProgress(flow.target().get().id(), now);
         if (!flow.route().resumable()) {
             // The engine has fetched its inputs before its first event. Another engine that goes on with the stream
