--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -141,6 +141,15 @@
         return inputs;
     }
 
+    /** About how much the servers of a step fetch: each piece takes all of its inputs. */
+    long fetchedBytes(Step step) {
+        long bytes = 0;
+        for (int before : step.after()) {
+            bytes += route.steps().get(before).resultBytes() * request.piecesOf(before);
+        }
+        return bytes * request.piecesOf(step.number());
+    }
+
     /** The handles that a step takes. */
     List<String> inputsOf(Step step) {
         return inputResultsOf(step).stream().map(StepResult::handle).toList();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -53,6 +53,9 @@
     /** Status of an engine that does not find a result that the request names. */
     private static final int INPUTS_GONE = 409;
 
+    /** Below a megabyte the price of crossing failure domains is less than that of waiting for a nearer server. */
+    private static final long WORTH_STAYING_NEAR = 1_000_000;
+
     /** A customer's rank goes before a route's. */
     private static final int RANKS_OF_ROUTES = 100;
 
@@ -193,7 +196,9 @@
                         inputs.isEmpty() ? flow.request().pieceKey() : Optional.empty(),
                         inputs,
                         step.resultBytes(),
-                        domainOf(flow.inputResultsOf(step)),
+                        flow.fetchedBytes(step) < WORTH_STAYING_NEAR
+                                ? Optional.empty()
+                                : domainOf(flow.inputResultsOf(step)),
                         StepTimes.urgency(flow, step, configuration)),
                 contract.get(),
                 now);
