--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
@@ -6,14 +6,15 @@
 public enum FeedName {
     /**
      * What operators write. Changes are rare and must be in force within two seconds, so a read waits at the end of the
-     * feed; one second, so that a connection that has fallen silent is noticed in time.
+     * feed; two seconds, so that a connection that has fallen silent is noticed in three.
      */
-    CONFIGURATION(Duration.ofSeconds(1), Duration.ZERO),
+    CONFIGURATION(Duration.ofSeconds(2), Duration.ZERO),
     /**
      * The upstreams' own entries. With dozens of upstreams that write every second or so, a read that waits would come
-     * back at once each time: read at intervals instead. A server that leaves must get nothing new after two seconds.
+     * back at once each time: read at intervals instead. A server that leaves must get nothing new after two seconds, which
+     * leaves room for one read that fails.
      */
-    DIRECTORY(Duration.ZERO, Duration.ofMillis(500));
+    DIRECTORY(Duration.ZERO, Duration.ofMillis(700));
 
     private final Duration wait;
     private final Duration pause;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -35,7 +35,7 @@
  */
 public final class Serving {
     /** A node whose own reads got no answer for this long, and that is behind a peer, asks the peer. */
-    private static final Duration OWN_READ_SILENT = Duration.ofMillis(1300);
+    private static final Duration OWN_READ_SILENT = Duration.ofMillis(2500);
 
     /** How often a peer is asked for the same feed. */
     private static final Duration HELP_PERIOD = Duration.ofMillis(300);
@@ -75,6 +75,7 @@
         shutdown = new Shutdown(setup.drainGrace());
         orders = new StepOrders(setup.self(), peers, directory, effects::add, () -> !shutdown.started());
         flows = new RequestFlows(setup, directory, health, orders, effects::add);
+        orders.whenFetched(flows::onFetched);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, present));
     }
 
@@ -187,6 +188,7 @@
                 take(help.feed(), feeds.get(help.feed()).apply(help.batch()), now);
             case ServingMessage.PiecesWanted wanted -> onWanted(sender, wanted, now);
             case ServingMessage.PiecesAnswered answered -> orders.onAnswered(sender, answered, now);
+            case ServingMessage.InputsFetched inputs -> orders.onFetched(inputs.number());
             case ServingMessage.PiecesWithdrawn withdrawn -> orders.onWithdrawn(sender, withdrawn.number(), now);
             case ServingMessage.ResultsReleased released -> orders.filler().onReleased(released.results());
         }
