--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/OrderState.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/OrderState.java
@@ -1,9 +1,7 @@
 package org.wagtaillug.batch;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.wagtaillug.route.PieceContract;
 
 /** An order that is being worked on. */
@@ -11,7 +9,6 @@
     private final PieceOrder order;
     private final PieceContract contract;
     private final StepResult[] results;
-    private final Set<Integer> fetched = new HashSet<>();
     private int missing;
     private int faults;
     private boolean ended;
@@ -40,11 +37,6 @@
         return missing == 0;
     }
 
-    /** Notes that the inputs of a piece have been fetched; whether that was the last one. */
-    boolean fetched(int piece) {
-        return fetched.add(piece) && fetched.size() == results.length;
-    }
-
     /** Notes that a call for some of its pieces failed; how often that has happened. */
     int failed() {
         faults++;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceFiller.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceFiller.java
@@ -38,13 +38,6 @@
     /** A call is given up after this many times what it should take, for servers that have turned slow. */
     private static final int PATIENCE = 6;
 
-    /**
-     * A server fetches the inputs of a call when it begins to work on it, in ten to twenty milliseconds, and works for 150
-     * at least. Inputs that are held until the call ends fill the room of the servers before it: at full load that room, not
-     * the servers' time, is what a pool runs out of.
-     */
-    private static final Duration FETCHED_AFTER = Duration.ofMillis(80);
-
     /** How long releases are collected before a server is told. */
     private static final Duration RELEASE_PAUSE = Duration.ofMillis(20);
 
@@ -75,10 +68,6 @@
         PoolId pool() {
             return call.upstream().pool();
         }
-
-        boolean hasFetched(Instant now) {
-            return !now.isBefore(startedAt.plus(FETCHED_AFTER));
-        }
     }
 
     /** Fills calls to the servers of a directory. */
@@ -401,25 +390,10 @@
                 giveUpOverdue(state, now);
             }
         }
-        tellFetched(now);
         forgetTold(now);
         sendReleases(now);
     }
 
-    private void tellFetched(Instant now) {
-        for (Calling calling : calls.values()) {
-            if (!calling.hasFetched(now)) {
-                continue;
-            }
-            for (PieceQueue.Waiting piece : calling.pieces()) {
-                boolean all = !piece.order().inputs().isEmpty() && piece.state().fetched(piece.piece());
-                if (all && !piece.state().ended()) {
-                    output.fetched(piece.order());
-                }
-            }
-        }
-    }
-
     private void forgetTold(Instant now) {
         for (Iterator<Told> each = told.values().iterator(); each.hasNext(); ) {
             if (now.isBefore(each.next().at().plus(OUTCOMES_KEPT))) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceOutput.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/PieceOutput.java
@@ -12,9 +12,6 @@
     /** Tells the node that wants the pieces what became of them. */
     void outcome(PieceOrder order, PieceOutcome outcome);
 
-    /** Tells the node that wants the pieces that their inputs have been fetched. */
-    void fetched(PieceOrder order);
-
     /** Tells a server that results are no longer needed; the end comes back by {@link PieceFiller#onReleaseEnded}. */
     void release(long number, Listing maker, List<String> handles);
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -80,13 +80,6 @@
      */
     record PiecesAnswered(long number, PieceOutcome outcome) implements ServingMessage {}
 
-    /**
-     * The servers that make the pieces of an order have fetched their inputs.
-     *
-     * @param number of the order
-     */
-    record InputsFetched(long number) implements ServingMessage {}
-
     /**
      * The pieces of an order are not wanted any more.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -30,7 +30,6 @@
     private final Map<Integer, List<StepResult>> results = new HashMap<>();
     private final Set<Integer> ordered = new HashSet<>();
     private final Set<Integer> released = new HashSet<>();
-    private final Set<Integer> fetched = new HashSet<>();
     private final Set<VmId> tried = new HashSet<>();
     private Optional<Upstream> target = Optional.empty();
     private Instant sentAt = Instant.EPOCH;
@@ -201,19 +200,13 @@
         return false;
     }
 
-    /** Notes that the servers of a step have its inputs. */
-    void fetched(int step) {
-        fetched.add(step);
-    }
-
-    /** Results that only steps take that have them, and this is one of those; they are given out once. */
+    /** Results that only a step took that is made now; they are given out once. */
     List<StepResult> spentBy(Step made) {
         List<StepResult> spent = new ArrayList<>();
         for (int before : made.after()) {
             boolean last = true;
             for (Step other : steps()) {
-                boolean has = results.containsKey(other.number()) || fetched.contains(other.number());
-                last &= !other.after().contains(before) || has;
+                last &= !other.after().contains(before) || results.containsKey(other.number());
             }
             if (last) {
                 spent.addAll(take(before));
@@ -250,7 +243,6 @@
         results.clear();
         ordered.clear();
         released.clear();
-        fetched.clear();
         rebuilds++;
         return rebuilds;
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -238,15 +238,6 @@
         }
     }
 
-    /** The servers of a step have its inputs: the room of the servers that made them is free for others. */
-    void onFetched(PieceOrder order) {
-        Flow flow = flows.get(order.request());
-        if (flow != null) {
-            flow.fetched(order.step());
-            release(flow, flow.spentBy(flow.route().steps().get(order.step())));
-        }
-    }
-
     private void onNotMade(Flow flow, PieceOrder order, PieceOutcome.NotMade notMade, Instant now) {
         if (notMade.reason() == PieceOutcome.Reason.INPUTS_GONE && rebuild(flow, now)) {
             return;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -75,7 +75,6 @@
         shutdown = new Shutdown(setup.drainGrace());
         orders = new StepOrders(setup.self(), peers, directory, effects::add, () -> !shutdown.started());
         flows = new RequestFlows(setup, directory, health, orders, effects::add);
-        orders.whenFetched(flows::onFetched);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, present));
     }
 
@@ -188,7 +187,6 @@
                 take(help.feed(), feeds.get(help.feed()).apply(help.batch()), now);
             case ServingMessage.PiecesWanted wanted -> onWanted(sender, wanted, now);
             case ServingMessage.PiecesAnswered answered -> orders.onAnswered(sender, answered, now);
-            case ServingMessage.InputsFetched inputs -> orders.onFetched(inputs.number());
             case ServingMessage.PiecesWithdrawn withdrawn -> orders.onWithdrawn(sender, withdrawn.number(), now);
             case ServingMessage.ResultsReleased released -> orders.filler().onReleased(released.results());
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -50,7 +50,6 @@
         }
     };
     private Consumer<Answer> answers = answer -> {};
-    private Consumer<PieceOrder> fetched = order -> {};
     private long lastNumber;
 
     /**
@@ -214,19 +213,6 @@
         }
     }
 
-    /** The inputs of one of this node's own orders have been fetched. */
-    void onFetched(long number) {
-        Outstanding one = outstanding.get(number);
-        if (one != null) {
-            fetched.accept(one.order);
-        }
-    }
-
-    /** Sets who hears which orders' inputs have been fetched. */
-    void whenFetched(Consumer<PieceOrder> receiver) {
-        fetched = receiver;
-    }
-
     /** Says again what was not answered; to another node if another fills now. */
     void onTick(Instant now) {
         for (Outstanding one : List.copyOf(outstanding.values())) {
@@ -277,17 +263,6 @@
                     origin.vm(), new ServingMessage.PiecesAnswered(order.id().number(), outcome)));
         }
 
-        @Override
-        public void fetched(PieceOrder order) {
-            NodeId origin = order.id().origin();
-            if (origin.equals(self)) {
-                onFetched(order.id().number());
-                return;
-            }
-            effects.accept(new ServingEffect.SendToPeer(
-                    origin.vm(), new ServingMessage.InputsFetched(order.id().number())));
-        }
-
         @Override
         public void release(long number, Listing maker, List<String> handles) {
             effects.accept(new ServingEffect.ReleaseResults(number, maker, handles));
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
@@ -75,14 +75,8 @@
             case GRANT_ASK -> Either.right(new Envelope(sender, receiver, GrantCodec.decode(message.getGrantAsk())));
             case GRANT_REPLY ->
                 Either.right(new Envelope(sender, receiver, GrantCodec.decode(message.getGrantReply())));
-            case HELLO,
-                    FEED_ASK,
-                    FEED_HELP,
-                    PIECES_WANTED,
-                    PIECES_ANSWERED,
-                    PIECES_WITHDRAWN,
-                    RESULTS_RELEASED,
-                    INPUTS_FETCHED -> Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
+            case HELLO, FEED_ASK, FEED_HELP, PIECES_WANTED, PIECES_ANSWERED, PIECES_WITHDRAWN, RESULTS_RELEASED ->
+                Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
             case KIND_NOT_SET -> Either.left("a message of " + sender + " is of no kind that this version knows");
         };
     }
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -21,7 +21,6 @@
 import org.wagtaillug.link.generated.FeedNameMessage;
 import org.wagtaillug.link.generated.FeedRecordMessage;
 import org.wagtaillug.link.generated.HelloMessage;
-import org.wagtaillug.link.generated.InputsFetchedMessage;
 import org.wagtaillug.link.generated.NotMadeReasonMessage;
 import org.wagtaillug.link.generated.PiecesAnsweredMessage;
 import org.wagtaillug.link.generated.PiecesWantedMessage;
@@ -45,8 +44,6 @@
             case ServingMessage.PiecesAnswered answered -> envelope.setPiecesAnswered(encode(answered));
             case ServingMessage.PiecesWithdrawn withdrawn ->
                 envelope.setPiecesWithdrawn(PiecesWithdrawnMessage.newBuilder().setNumber(withdrawn.number()));
-            case ServingMessage.InputsFetched fetched ->
-                envelope.setInputsFetched(InputsFetchedMessage.newBuilder().setNumber(fetched.number()));
             case ServingMessage.ResultsReleased released ->
                 envelope.setResultsReleased(
                         ResultsReleasedMessage.newBuilder().addAllResults(encode(released.results())));
@@ -70,8 +67,6 @@
             case PIECES_ANSWERED -> decode(envelope.getPiecesAnswered());
             case PIECES_WITHDRAWN ->
                 new ServingMessage.PiecesWithdrawn(envelope.getPiecesWithdrawn().getNumber());
-            case INPUTS_FETCHED ->
-                new ServingMessage.InputsFetched(envelope.getInputsFetched().getNumber());
             case RESULTS_RELEASED ->
                 new ServingMessage.ResultsReleased(
                         decode(envelope.getResultsReleased().getResultsList()));
