--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/batch/PieceFillerTest.java
@@ -0,0 +1,204 @@
+package org.wagtaillug.batch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.wagtaillug.batch.PieceCallEnd.PieceAnswer;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.node.Decision;
+import org.wagtaillug.route.PieceContract;
+
+class PieceFillerTest {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final PoolId POOL = new PoolId("encode");
+    private static final DomainId NORTH = new DomainId("north");
+    private static final DomainId SOUTH = new DomainId("south");
+    private static final PieceContract CONTRACT =
+            new PieceContract(1, 6, Duration.ofMillis(150), Duration.ofMillis(20), 100, Duration.ofSeconds(4));
+
+    private final UpstreamDirectory directory = new UpstreamDirectory();
+    private final Output output = new Output();
+    private final PieceFiller filler = new PieceFiller(directory, output);
+    private Instant now = START;
+    private long numbers;
+
+    private static final class Output implements PieceOutput {
+        private final List<PieceCall> calls = new ArrayList<>();
+        private final Map<Long, PieceOutcome> outcomes = new HashMap<>();
+        private final List<Long> releases = new ArrayList<>();
+
+        @Override
+        public void call(PieceCall call) {
+            calls.add(call);
+        }
+
+        @Override
+        public void outcome(PieceOrder order, PieceOutcome outcome) {
+            outcomes.put(order.id().number(), outcome);
+        }
+
+        @Override
+        public void release(long number, Listing maker, List<String> handles) {
+            releases.add(number);
+        }
+
+        @Override
+        public void decided(Decision decision) {
+            // Decisions are the log's.
+        }
+    }
+
+    private void server(String id, DomainId domain) {
+        directory.onListing(new Listing(new VmId(id), 1, POOL, "10.0.0.1", 80, domain, false, Duration.ZERO), now);
+    }
+
+    private long order(int pieces, int rank, Duration aim, long bytes, Optional<DomainId> near) {
+        numbers++;
+        filler.onOrder(
+                new PieceOrder(
+                        new OrderId(new NodeId(new VmId("node"), 1), numbers),
+                        new RequestId("request-" + numbers),
+                        0,
+                        POOL,
+                        pieces,
+                        Optional.of("key"),
+                        List.of(),
+                        bytes,
+                        near,
+                        new PieceOrder.Urgency(
+                                rank, now.plus(aim), now.plus(aim).plusSeconds(4))),
+                CONTRACT,
+                now);
+        return numbers;
+    }
+
+    private long order(int pieces) {
+        return order(pieces, 0, Duration.ofSeconds(2), 1, Optional.empty());
+    }
+
+    private void answer(PieceCall call) {
+        List<PieceAnswer> answers = new ArrayList<>();
+        for (int item = 0; item < call.items().size(); item++) {
+            answers.add(new PieceAnswer.Made("h-" + call.number() + "-" + item));
+        }
+        filler.onCallEnded(call.number(), new PieceCallEnd.Answered(answers), now);
+    }
+
+    private void tick(Duration time) {
+        now = now.plus(time);
+        filler.onTick(now);
+    }
+
+    @Test
+    void whatWaitsFillsTheNextCall() {
+        server("i-1", NORTH);
+        order(1);
+        order(2);
+        order(3);
+        order(2);
+        answer(output.calls.getFirst());
+        assertThat(output.calls).extracting(call -> call.items().size()).containsExactly(1, 6);
+    }
+
+    @Test
+    void whatCanBeInTimeGoesBeforeWhatIsLate() {
+        // A burst has made some requests late. If they went first, those that came after them would be late as well,
+        // one
+        // after the other, long after the burst.
+        server("i-1", NORTH);
+        order(1);
+        long late = order(4, 0, Duration.ofMillis(-10), 1, Optional.empty());
+        long inTime = order(4, 1, Duration.ofSeconds(1), 1, Optional.empty());
+        answer(output.calls.getFirst());
+        answer(output.calls.getLast());
+        assertThat(output.outcomes).containsKey(inTime).doesNotContainKey(late);
+    }
+
+    @Test
+    void whatIsLateIsNotHeldToItsDeadline() {
+        server("i-1", NORTH);
+        order(1);
+        long late = order(1, 0, Duration.ofMillis(-10), 1, Optional.empty());
+        tick(Duration.ofMillis(801));
+        assertThat(output.outcomes.get(late)).isInstanceOfSatisfying(PieceOutcome.NotMade.class, notMade -> {
+            assertThat(notMade.reason()).isEqualTo(PieceOutcome.Reason.OVERLOADED);
+            assertThat(notMade.retryAfter()).isPositive();
+        });
+    }
+
+    @Test
+    void roomCountsAsFreeOnlyWhenTheServerHasHeardOfTheRelease() {
+        // A call and a release leave at the same time on two connections. If the call has its turn first, the server
+        // finds
+        // no room for its results and the call's time is lost.
+        server("i-1", NORTH);
+        long first = order(2, 0, Duration.ofSeconds(2), 50, Optional.empty());
+        answer(output.calls.getFirst());
+        filler.onReleased(((PieceOutcome.Made) output.outcomes.get(first)).results());
+        tick(Duration.ofMillis(20));
+        order(2, 0, Duration.ofSeconds(2), 50, Optional.empty());
+        assertThat(output.calls).hasSize(1);
+        filler.onReleaseEnded(output.releases.getFirst(), true);
+        tick(Duration.ofMillis(20));
+        assertThat(output.calls).hasSize(2);
+    }
+
+    @Test
+    void aCallThatBreaksIsMadeByAnotherServer() {
+        server("i-1", NORTH);
+        server("i-2", SOUTH);
+        long order = order(2);
+        PieceCall broken = output.calls.getFirst();
+        filler.onCallEnded(broken.number(), new PieceCallEnd.Broken("reset"), now);
+        assertThat(output.calls).hasSize(2);
+        assertThat(output.calls.getLast().upstream().id())
+                .isNotEqualTo(broken.upstream().id());
+        answer(output.calls.getLast());
+        assertThat(output.outcomes.get(order)).isInstanceOf(PieceOutcome.Made.class);
+    }
+
+    @Test
+    void piecesWaitForAServerNearTheirInputsWhileTheyCanBeInTime() {
+        server("i-1", NORTH);
+        server("i-2", SOUTH);
+        order(6, 0, Duration.ofSeconds(2), 1, Optional.of(SOUTH));
+        order(1, 0, Duration.ofSeconds(2), 1, Optional.of(SOUTH));
+        assertThat(output.calls)
+                .extracting(call -> call.upstream().id().value())
+                .containsExactly("i-2");
+        tick(Duration.ofMillis(271));
+        assertThat(output.calls).hasSize(2);
+    }
+
+    @Test
+    void anOrderThatIsSaidAgainIsNotMadeTwice() {
+        server("i-1", NORTH);
+        order(1);
+        numbers--;
+        order(1);
+        answer(output.calls.getFirst());
+        numbers--;
+        order(1);
+        assertThat(output.calls).hasSize(1);
+    }
+
+    @Test
+    void aPoolWithoutAServerIsSaidAtOnce() {
+        long order = order(1);
+        assertThat(output.outcomes.get(order))
+                .isEqualTo(new PieceOutcome.NotMade(PieceOutcome.Reason.NO_UPSTREAM, Duration.ofMillis(200)));
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/feed/FeedTest.java
@@ -0,0 +1,80 @@
+package org.wagtaillug.feed;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class FeedTest {
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+
+    private static FeedRecord record(String key, long offset) {
+        return new FeedRecord(key, offset, Optional.of(new byte[] {1}));
+    }
+
+    @Test
+    void anOldRecordNeverReplacesANewerOne() {
+        // A store that is behind answers with records that were true some seconds ago. A dropped route would be back
+        // for as
+        // long as it is behind, on this node only.
+        Feed feed = new Feed();
+        feed.apply(new FeedBatch(8, true, List.of(record("a", 7))));
+        assertThat(feed.apply(new FeedBatch(4, false, List.of(record("a", 3))))).isEmpty();
+        assertThat(feed.next()).isEqualTo(8);
+        assertThat(feed.apply(new FeedBatch(4, true, List.of(record("b", 3))))).hasSize(1);
+        assertThat(feed.after(0).records()).extracting(FeedRecord::key).containsExactlyInAnyOrder("a", "b");
+    }
+
+    @Test
+    void aKeyThatAWholeListingDoesNotNameIsRemoved() {
+        Feed feed = new Feed();
+        feed.apply(new FeedBatch(2, true, List.of(record("a", 0), record("b", 1))));
+        List<FeedRecord> changed = feed.apply(new FeedBatch(5, true, List.of(record("b", 4))));
+        assertThat(changed).hasSize(2);
+        assertThat(changed)
+                .filteredOn(each -> each.value().isEmpty())
+                .extracting(FeedRecord::key)
+                .containsExactly("a");
+    }
+
+    @Test
+    void aPeerThatIsBehindGetsOnlyWhatItLacks() {
+        Feed feed = new Feed();
+        feed.apply(new FeedBatch(9, true, List.of(record("a", 2), record("b", 8))));
+        assertThat(feed.after(5).records()).extracting(FeedRecord::key).containsExactly("b");
+        assertThat(feed.after(5).whole()).isFalse();
+        assertThat(feed.after(0).whole()).isTrue();
+    }
+
+    @Test
+    void aListingOfSeveralPagesGoesOnFromTheEndOfItsFirstPage() {
+        // A record that is written while the pages are read may be in none of them; reading on from the last page's end
+        // would leave it out for good.
+        Feed feed = new Feed();
+        FeedReader reader = new FeedReader(FeedName.DIRECTORY, feed);
+        assertThat(reader.next(NOW)).contains(new FeedReader.Read.Newest(Optional.empty()));
+        assertThat(reader.next(NOW)).isEmpty();
+        reader.onListed(List.of(record("a", 1)), true, 10, NOW);
+        assertThat(reader.next(NOW)).contains(new FeedReader.Read.Newest(Optional.of("a")));
+        reader.onListed(List.of(record("b", 12)), false, 14, NOW);
+        assertThat(reader.next(NOW)).contains(new FeedReader.Read.From(10, Duration.ZERO));
+        assertThat(feed.whole()).isTrue();
+    }
+
+    @Test
+    void recordsThatAreNoLongerKeptAreListedAgain() {
+        Feed feed = new Feed();
+        FeedReader reader = new FeedReader(FeedName.CONFIGURATION, feed);
+        reader.next(NOW);
+        reader.onListed(List.of(record("a", 1)), false, 2, NOW);
+        assertThat(reader.next(NOW)).contains(new FeedReader.Read.From(2, FeedName.CONFIGURATION.longestWait()));
+        reader.onForgotten(NOW);
+        assertThat(reader.next(NOW)).contains(new FeedReader.Read.Newest(Optional.empty()));
+        reader.onFailed(NOW);
+        assertThat(reader.next(NOW)).isEmpty();
+        assertThat(reader.next(NOW.plusMillis(200))).contains(new FeedReader.Read.Newest(Optional.empty()));
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/retry/RepeatBudgetTest.java
@@ -0,0 +1,34 @@
+package org.wagtaillug.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class RepeatBudgetTest {
+    private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
+
+    @Test
+    void noWindowHasMoreThanItsShare() {
+        // A pool fails as a whole while callers go on asking. Every request would be tried twice, and the pool would
+        // face
+        // twice its load when it comes back.
+        RepeatBudget budget = new RepeatBudget(Duration.ofSeconds(10), 0.2, 4);
+        int spent = 0;
+        for (int request = 0; request < 100; request++) {
+            Instant now = NOW.plusMillis(request * 50L);
+            budget.onRequest(now);
+            spent += budget.spend(now) ? 1 : 0;
+        }
+        assertThat(spent).isEqualTo(24);
+    }
+
+    @Test
+    void whatWasSpentComesBackAfterTheWindow() {
+        RepeatBudget budget = new RepeatBudget(Duration.ofSeconds(10), 0.2, 1);
+        assertThat(budget.spend(NOW)).isTrue();
+        assertThat(budget.spend(NOW.plusSeconds(10))).isFalse();
+        assertThat(budget.spend(NOW.plusMillis(10_001))).isTrue();
+    }
+}
--- /dev/null
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -0,0 +1,64 @@
+package org.wagtaillug.link;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.wagtaillug.batch.PieceOutcome;
+import org.wagtaillug.batch.StepResult;
+import org.wagtaillug.feed.FeedBatch;
+import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedRecord;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.message.ServingMessage;
+
+class ServingCodecTest {
+    private static final StepResult RESULT = new StepResult("10.1.64.7:8080/91bd", new VmId("i-1"));
+
+    static List<ServingMessage> messages() {
+        return List.of(
+                new ServingMessage.Hello(
+                        true,
+                        List.of(new VmId("10.1.0.41")),
+                        Map.of(FeedName.CONFIGURATION, 7L, FeedName.DIRECTORY, 900L)),
+                new ServingMessage.FeedAsk(FeedName.DIRECTORY, 12),
+                new ServingMessage.FeedHelp(
+                        FeedName.CONFIGURATION,
+                        new FeedBatch(9, true, List.of(new FeedRecord("gone", 8, Optional.empty())))),
+                new ServingMessage.PiecesWanted(
+                        4,
+                        new RequestId("r"),
+                        2,
+                        new PoolId("encode"),
+                        16,
+                        Optional.of("key"),
+                        List.of("h1", "h2"),
+                        60_000,
+                        Optional.of(new DomainId("north")),
+                        3,
+                        Duration.ofMillis(-20),
+                        Duration.ofMillis(900)),
+                new ServingMessage.PiecesAnswered(4, new PieceOutcome.Made(List.of(RESULT))),
+                new ServingMessage.PiecesAnswered(
+                        4, new PieceOutcome.NotMade(PieceOutcome.Reason.OVERLOADED, Duration.ofMillis(300))),
+                new ServingMessage.PiecesWithdrawn(4),
+                new ServingMessage.ResultsReleased(List.of(RESULT)));
+    }
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void aMessageComesBackAsItWas(ServingMessage message) {
+        PeerMessageCodec codec = new PeerMessageCodec();
+        NodeId sender = new NodeId(new VmId("10.1.0.41"), 5);
+        byte[] bytes = codec.encode(new PeerMessageCodec.Envelope(sender, new VmId("10.1.0.42"), message));
+        assertThat(codec.decode(bytes).get().message()).isEqualTo(message);
+    }
+}
--- /dev/null
+++ b/wagtaillug-settings/src/test/java/org/wagtaillug/settings/RoutedSettingsTest.java
@@ -0,0 +1,52 @@
+package org.wagtaillug.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.wagtaillug.id.VmId;
+
+class RoutedSettingsTest {
+    private static final String GOOD = """
+            node: { vm: 10.1.0.41, name: edge-1, domain: north }
+            listen:
+              callers: "10.1.0.41:8625"
+              readiness: "10.1.0.41:8621"
+              administration: "10.1.0.41:7755"
+              link: "10.1.0.41:8628"
+            store: "10.200.1.7:8624"
+            seeds: ["10.2.0.25:8628"]
+            repeats: { window: 10s, ratio: 0.2, fixed: 56 }
+            shutdown_grace: 8s
+            """;
+
+    private static String problems(String text) {
+        return RoutedSettingsReader.read(text, "node.yaml").getLeft().toString();
+    }
+
+    @Test
+    void goodSettingsAreReadWhole() {
+        RoutedSettings settings = RoutedSettingsReader.read(GOOD, "node.yaml").get();
+        assertThat(settings.listen().callers()).hasToString("10.1.0.41:8625");
+        assertThat(settings.seeds()).containsExactly(new VmId("10.2.0.25"));
+        assertThat(settings.repeats().window()).isEqualTo(Duration.ofSeconds(10));
+        assertThat(settings.shutdownGrace()).isEqualTo(Duration.ofSeconds(8));
+    }
+
+    @Test
+    void aWrongFieldIsNamedWithTheNearestOne() {
+        assertThat(problems(GOOD.replace("  readiness:", "  readyness:")))
+                .contains("node.yaml:4", "readyness", "did you mean \"readiness\"?");
+    }
+
+    @Test
+    void wrongValuesAreAllNamedAtOnce() {
+        String wrong = GOOD.replace(":8625", "").replace("10s", "soon").replace("0.2", "-1");
+        assertThat(problems(wrong)).contains("listen.callers", "repeats.window", "repeats.ratio");
+    }
+
+    @Test
+    void anEmptyFileIsSaidToBeOne() {
+        assertThat(problems("")).contains("node.yaml:1", "found an empty text");
+    }
+}
