--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowSteps.java
@@ -0,0 +1,139 @@
+package org.wagtaillug.serving;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.wagtaillug.batch.OrderId;
+import org.wagtaillug.batch.PieceOrder;
+import org.wagtaillug.batch.PieceOutcome;
+import org.wagtaillug.batch.StepResult;
+import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.route.PieceContract;
+import org.wagtaillug.route.PoolProfile;
+import org.wagtaillug.route.ServingConfiguration;
+import org.wagtaillug.route.Step;
+
+/** The steps of the requests under way: what is ordered for each, and which results are still needed. */
+final class FlowSteps {
+    /** Below a megabyte the price of crossing failure domains is less than that of waiting for a nearer server. */
+    private static final long WORTH_STAYING_NEAR = 1_000_000;
+
+    private final UpstreamDirectory directory;
+    private final StepOrders orders;
+    private final Map<RequestId, List<Long>> orderNumbers = new HashMap<>();
+    private final Map<RequestId, Map<Integer, VmId>> fillers = new HashMap<>();
+    private ServingConfiguration configuration;
+
+    FlowSteps(UpstreamDirectory directory, StepOrders orders) {
+        this.directory = directory;
+        this.orders = orders;
+    }
+
+    /** Steps that are ordered from now on are ordered by a new version. */
+    void configure(ServingConfiguration newest) {
+        configuration = newest;
+    }
+
+    /** Orders the pieces of a step; false if its pool takes none. */
+    boolean order(Flow flow, Step step, Instant now) {
+        Optional<PieceContract> contract = configuration.pool(step.pool()).flatMap(PoolProfile::pieces);
+        if (contract.isEmpty()) {
+            return false;
+        }
+        flow.ordered(step);
+        OrderId id = orders.nextId();
+        orderNumbers
+                .computeIfAbsent(flow.request().id(), any -> new ArrayList<>())
+                .add(id.number());
+        List<String> inputs = flow.inputsOf(step);
+        orders.order(
+                new PieceOrder(
+                        id,
+                        flow.request().id(),
+                        step.number(),
+                        step.pool(),
+                        flow.request().piecesOf(step.number()),
+                        inputs.isEmpty() ? flow.request().pieceKey() : Optional.empty(),
+                        inputs,
+                        step.resultBytes(),
+                        flow.fetchedBytes(step) < WORTH_STAYING_NEAR
+                                ? Optional.empty()
+                                : domainOf(flow.inputResultsOf(step)),
+                        StepTimes.urgency(flow, step, configuration)),
+                contract.get(),
+                now);
+        return true;
+    }
+
+    /** The failure domain where most of the given results lie. */
+    Optional<DomainId> domainOf(List<StepResult> results) {
+        Map<DomainId, Integer> counts = new HashMap<>();
+        for (StepResult result : results) {
+            directory.find(result.maker()).ifPresent(maker -> counts.merge(maker.domain(), 1, Integer::sum));
+        }
+        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
+    }
+
+    /** Whether an order is one that its request still waits for. */
+    boolean expects(PieceOrder order) {
+        return orderNumbers
+                .getOrDefault(order.request(), List.of())
+                .contains(order.id().number());
+    }
+
+    /** The pieces of a step are made: what only it took is not needed any more. */
+    void made(Flow flow, StepOrders.Answer answer, List<StepResult> results) {
+        int step = answer.order().step();
+        fillers.computeIfAbsent(flow.request().id(), id -> new HashMap<>()).put(step, answer.filler());
+        flow.made(step, results);
+        release(flow, flow.spentBy(flow.route().steps().get(step)));
+    }
+
+    /** Pieces were made for a request that has ended. */
+    void releaseUnwanted(StepOrders.Answer answer) {
+        if (answer.outcome() instanceof PieceOutcome.Made made) {
+            orders.release(answer.filler(), made.results());
+        }
+    }
+
+    /** All results of a request are used. */
+    void releaseUnspent(Flow flow) {
+        release(flow, flow.unspent());
+    }
+
+    /** Nothing that was ordered for a request is needed any more. */
+    void end(Flow flow, Instant now) {
+        withdraw(flow, now);
+        releaseUnspent(flow);
+        fillers.remove(flow.request().id());
+    }
+
+    /** Tells the nodes that keep the accounts; those of different steps may be different ones. */
+    private void release(Flow flow, List<StepResult> results) {
+        if (results.isEmpty()) {
+            return;
+        }
+        Map<Integer, VmId> byStep = fillers.getOrDefault(flow.request().id(), Map.of());
+        Map<VmId, List<StepResult>> byFiller = new HashMap<>();
+        for (StepResult result : results) {
+            VmId filler = byStep.get(flow.stepOf(result));
+            if (filler != null) {
+                byFiller.computeIfAbsent(filler, any -> new ArrayList<>()).add(result);
+            }
+        }
+        byFiller.forEach(orders::release);
+    }
+
+    private void withdraw(Flow flow, Instant now) {
+        List<Long> numbers = orderNumbers.remove(flow.request().id());
+        if (numbers != null) {
+            orders.withdraw(numbers, now);
+        }
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -11,14 +10,11 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.wagtaillug.admission.ColdPace;
-import org.wagtaillug.batch.OrderId;
 import org.wagtaillug.batch.PieceOrder;
 import org.wagtaillug.batch.PieceOutcome;
-import org.wagtaillug.batch.StepResult;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.health.UpstreamHealth;
-import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
@@ -27,7 +23,6 @@
 import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.retry.RepeatBudget;
 import org.wagtaillug.route.Customer;
-import org.wagtaillug.route.PieceContract;
 import org.wagtaillug.route.PoolProfile;
 import org.wagtaillug.route.Route;
 import org.wagtaillug.route.RouteKind;
@@ -38,6 +33,12 @@
 
 /** The requests that are under way on this node: what each needs next, and its one final answer. */
 final class RequestFlows {
+    /** Stands in the metrics for requests that match no route. */
+    static final String NO_ROUTE = "none";
+
+    /** An upstream may be cold for two of the periods at which it writes its entry. */
+    private static final Duration UNKNOWN_AFTER_FAULT = Duration.ofMillis(2500);
+
     /** A caller that is told to come back while a pool has no server, or none that may get more. */
     private static final Duration COME_BACK = Duration.ofMillis(500);
 
@@ -53,9 +54,6 @@
     /** Status of an engine that does not find a result that the request names. */
     private static final int INPUTS_GONE = 409;
 
-    /** Below a megabyte the price of crossing failure domains is less than that of waiting for a nearer server. */
-    private static final long WORTH_STAYING_NEAR = 1_000_000;
-
     /** A customer's rank goes before a route's. */
     private static final int RANKS_OF_ROUTES = 100;
 
@@ -63,12 +61,10 @@
     private final UpstreamHealth health;
     private final ColdPace coldPace;
     private final UpstreamChooser chooser;
-    private final StepOrders orders;
+    private final FlowSteps steps;
     private final ServingSetup.Repeats repeats;
     private final Consumer<ServingEffect> effects;
     private final Map<RequestId, Flow> flows = new LinkedHashMap<>();
-    private final Map<RequestId, List<Long>> orderNumbers = new HashMap<>();
-    private final Map<RequestId, Map<Integer, VmId>> fillers = new HashMap<>();
     private final Map<PoolId, RepeatBudget> budgets = new HashMap<>();
     private final Map<RequestId, Instant> waiting = new LinkedHashMap<>();
     private ServingConfiguration configuration;
@@ -83,7 +79,7 @@
         this.health = health;
         this.coldPace = new ColdPace();
         this.chooser = new UpstreamChooser(directory, health, coldPace, setup.domain());
-        this.orders = orders;
+        this.steps = new FlowSteps(directory, orders);
         this.repeats = setup.repeats();
         this.effects = effects;
     }
@@ -91,6 +87,7 @@
     /** Requests that arrive from now on are handled by a new version. */
     void configure(ServingConfiguration newest) {
         configuration = newest;
+        steps.configure(newest);
     }
 
     boolean idle() {
@@ -133,9 +130,6 @@
         }
     }
 
-    /** Stands in the metrics for requests that match no route. */
-    static final String NO_ROUTE = "none";
-
     private void begin(RoutedRequest request, Route route, Optional<Customer> customer, Instant now) {
         int customerRank = customer.map(each -> each.rank().orElse(0)).orElse(0);
         int rank = customerRank * RANKS_OF_ROUTES + route.rank();
@@ -169,69 +163,24 @@
             if (flows.get(flow.request().id()) != flow) {
                 return;
             }
-            order(flow, step, now);
-        }
-    }
-
-    private void order(Flow flow, Step step, Instant now) {
-        Optional<PieceContract> contract = configuration.pool(step.pool()).flatMap(PoolProfile::pieces);
-        if (contract.isEmpty()) {
-            String message = "the pool \"" + step.pool() + "\" of step " + step.number() + " takes no pieces";
-            refuse(flow, ResultCode.STEP_FAILED, COME_BACK, message, now);
-            return;
-        }
-        flow.ordered(step);
-        OrderId id = orders.nextId();
-        orderNumbers
-                .computeIfAbsent(flow.request().id(), any -> new ArrayList<>())
-                .add(id.number());
-        List<String> inputs = flow.inputsOf(step);
-        orders.order(
-                new PieceOrder(
-                        id,
-                        flow.request().id(),
-                        step.number(),
-                        step.pool(),
-                        flow.request().piecesOf(step.number()),
-                        inputs.isEmpty() ? flow.request().pieceKey() : Optional.empty(),
-                        inputs,
-                        step.resultBytes(),
-                        flow.fetchedBytes(step) < WORTH_STAYING_NEAR
-                                ? Optional.empty()
-                                : domainOf(flow.inputResultsOf(step)),
-                        StepTimes.urgency(flow, step, configuration)),
-                contract.get(),
-                now);
-    }
-
-    /** The failure domain where most of the given results lie. */
-    private Optional<DomainId> domainOf(List<StepResult> results) {
-        Map<DomainId, Integer> counts = new HashMap<>();
-        for (StepResult result : results) {
-            directory.find(result.maker()).ifPresent(maker -> counts.merge(maker.domain(), 1, Integer::sum));
+            if (!steps.order(flow, step, now)) {
+                String message = "the pool \"" + step.pool() + "\" of step " + step.number() + " takes no pieces";
+                refuse(flow, ResultCode.STEP_FAILED, COME_BACK, message, now);
+                return;
+            }
         }
-        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey);
     }
 
     void onStepAnswer(StepOrders.Answer answer, Instant now) {
         PieceOrder order = answer.order();
         Flow flow = flows.get(order.request());
-        boolean wanted = flow != null
-                && orderNumbers
-                        .getOrDefault(order.request(), List.of())
-                        .contains(order.id().number());
-        if (!wanted) {
-            if (answer.outcome() instanceof PieceOutcome.Made made) {
-                orders.release(answer.filler(), made.results());
-            }
+        if (flow == null || !steps.expects(order)) {
+            steps.releaseUnwanted(answer);
             return;
         }
         switch (answer.outcome()) {
             case PieceOutcome.Made made -> {
-                fillers.computeIfAbsent(order.request(), id -> new HashMap<>()).put(order.step(), answer.filler());
-                flow.made(order.step(), made.results());
-                Step step = flow.route().steps().get(order.step());
-                release(flow, flow.spentBy(step));
+                steps.made(flow, answer, made.results());
                 advance(flow, now);
             }
             case PieceOutcome.NotMade notMade -> onNotMade(flow, order, notMade, now);
@@ -255,8 +204,7 @@
 
     /** A result was lost at its maker: all steps are done again, once. */
     private boolean rebuild(Flow flow, Instant now) {
-        withdraw(flow, now);
-        release(flow, flow.unspent());
+        steps.end(flow, now);
         if (flow.rebuild() > MOST_REBUILDS) {
             return false;
         }
@@ -265,22 +213,6 @@
         return true;
     }
 
-    /** Tells the nodes that keep the accounts; those of different steps may be different ones. */
-    private void release(Flow flow, List<StepResult> results) {
-        if (results.isEmpty()) {
-            return;
-        }
-        Map<Integer, VmId> byStep = fillers.getOrDefault(flow.request().id(), Map.of());
-        Map<VmId, List<StepResult>> byFiller = new HashMap<>();
-        for (StepResult result : results) {
-            VmId filler = byStep.get(flow.stepOf(result));
-            if (filler != null) {
-                byFiller.computeIfAbsent(filler, any -> new ArrayList<>()).add(result);
-            }
-        }
-        byFiller.forEach(orders::release);
-    }
-
     private void send(Flow flow, Instant now) {
         Optional<PoolProfile> pool = configuration.pool(flow.pool());
         if (pool.isEmpty() || directory.usable(flow.pool()).isEmpty()) {
@@ -291,7 +223,7 @@
         UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
                 flow.request().promptParts(),
                 flow.request().promptTokens(),
-                domainOf(flow.inputResults()),
+                steps.domainOf(flow.inputResults()),
                 flow.inputBytes());
         Optional<Upstream> chosen = chooser.choose(pool.get(), tried, prompt, now);
         if (chosen.isEmpty()) {
@@ -363,7 +295,7 @@
             // The engine has fetched its inputs before its first event. Another engine that goes on with the stream
             // would
             // need them again.
-            release(flow, flow.unspent());
+            steps.releaseUnspent(flow);
         }
     }
 
@@ -420,9 +352,6 @@
         directory.onFault(upstream.id(), now.plus(UNKNOWN_AFTER_FAULT));
     }
 
-    /** Two of the periods at which upstreams write their entries. */
-    private static final Duration UNKNOWN_AFTER_FAULT = Duration.ofMillis(2500);
-
     private void onNotRun(Flow flow, int status, Instant now) {
         if (status == INPUTS_GONE && !flow.steps().isEmpty() && rebuild(flow, now)) {
             return;
@@ -503,11 +432,9 @@
 
     private void finish(Flow flow, Outcome outcome, String how, Instant now) {
         RequestId id = flow.request().id();
-        withdraw(flow, now);
-        release(flow, flow.unspent());
+        steps.end(flow, now);
         flows.remove(id);
         waiting.remove(id);
-        fillers.remove(id);
         Duration took = Duration.between(flow.arrivedAt(), now);
         effects.accept(new ServingEffect.Finished(id, flow.route().id().value(), outcome, took));
         log("finish", id)
@@ -518,13 +445,6 @@
                 .write();
     }
 
-    private void withdraw(Flow flow, Instant now) {
-        List<Long> numbers = orderNumbers.remove(flow.request().id());
-        if (numbers != null) {
-            orders.withdraw(numbers, now);
-        }
-    }
-
     void onCallerLeft(RequestId id, Instant now) {
         Flow flow = flows.get(id);
         if (flow == null) {
