--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
@@ -116,7 +117,7 @@
     }
 
     private HttpClient client() {
-        HttpClient client = new HttpClient();
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(new UpstreamConnector()));
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT.toMillis());
         client.setIdleTimeout(UPSTREAM_IDLE.toMillis());
--- /dev/null
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamConnector.java
@@ -0,0 +1,53 @@
+package org.wagtaillug.daemon.routed;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * Connects to upstreams so that a reset is told from an end.
+ *
+ * <p>The library's own connections read a reset as the end of the input. An answer without a length ends with its
+ * connection, so half an answer of an upstream that crashed would pass for a whole one. Here a reset fails the answer.
+ */
+final class UpstreamConnector extends ClientConnector {
+    @Override
+    protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
+    }
+
+    private static final class ResetAwareEndPoint extends SocketChannelEndPoint {
+        private ResetAwareEndPoint(
+                SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+            super(channel, selector, key, scheduler);
+        }
+
+        @Override
+        public int fill(ByteBuffer buffer) throws IOException {
+            if (isInputShutdown()) {
+                return -1;
+            }
+            int position = BufferUtil.flipToFill(buffer);
+            int filled;
+            try {
+                filled = getChannel().read(buffer);
+            } finally {
+                BufferUtil.flipToFlush(buffer, position);
+            }
+            if (filled > 0) {
+                notIdle();
+            } else if (filled < 0) {
+                shutdownInput();
+            }
+            return filled;
+        }
+    }
+}
