Tests of attempts give them time enough to be sent on a busy machine

The attempt has to send its first byte within a limit, one second in this test; the test's first attempt, which loads the client's classes, took 4.4 s there. The test is about the status, not about the limit; anAttemptPast... with a limit that is over still tests that.

Change: ten seconds where the limit is not what is tested; the checks are as they were. A spelling in LoadTest.

--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/LoadTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/LoadTest.java
@@ -47,7 +47,7 @@
 
     /** The same with a seventh more requests than the pools bear: 0.825. The most urgent kind hardly feels it. */
     @Test
-    void overloadIsBornByTheLeastUrgent() {
+    void overloadIsBorneByTheLeastUrgent() {
         assertThat(worth(1.15)).isGreaterThan(0.810);
         assertThat(sums.get(Kind.REPLY).share(Kind.REPLY)).isGreaterThan(0.96);
     }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/LoadWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/LoadWorld.java
@@ -48,6 +48,7 @@
     private static final PoolId RETRIEVE = new PoolId("retrieve");
     private static final PoolId RERANK = new PoolId("rerank");
     private static final PoolId MODEL = new PoolId("model");
+
     /** A large result beside a chain of three steps; which of them a request has, its pieces say. */
     private static final List<Step> CHAIN = List.of(
             new Step(0, ENCODE, List.of(), 3_000_000),
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/upstream/AttemptSenderTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/upstream/AttemptSenderTest.java
@@ -44,6 +44,9 @@
 import org.wagtaillug.result.Payload;
 
 class AttemptSenderTest {
+    /** In which an attempt has to be sent, where the test is not about that: a busy machine takes seconds to load classes. */
+    private static final long AMPLE_MILLIS = 10_000;
+
     private static final Stage ENCODE = Stage.builder("encode").build();
     private static final Stage GENERATE =
             Stage.builder("generate").work(StageWork.GENERATE).model("m").build();
@@ -94,7 +97,7 @@
     @Test
     void anAnswerWithTheAttemptsIdsCompletesIt() throws Exception {
         answer = "{\"request\": \"r\", \"attempt\": \"r/encode/1\", \"output\": [1, 2]}";
-        assertThat(end(attempt(ENCODE, 1, 1000))).isEqualTo(new AttemptEnd.Completed(Payload.of("[1,2]")));
+        assertThat(end(attempt(ENCODE, 1, AMPLE_MILLIS))).isEqualTo(new AttemptEnd.Completed(Payload.of("[1,2]")));
     }
 
     @Test
@@ -102,41 +105,41 @@
         // An upstream mixes up two connections and answers with another guest's result. Without a look at the ids the
         // caller would read someone else's answer.
         answer = "{\"request\": \"other\", \"attempt\": \"other/encode/1\", \"output\": [1, 2]}";
-        assertThat(end(attempt(ENCODE, 1, 1000)))
+        assertThat(end(attempt(ENCODE, 1, AMPLE_MILLIS)))
                 .isEqualTo(new AttemptEnd.Failed(true, "the answer of attempt other/encode/1"));
     }
 
     @Test
     void anAnswerThatIsCutIsNotTaken() throws Exception {
         answer = "{\"request\": \"r\", \"attempt\": \"r/encode/1\", \"outp";
-        assertThat(end(attempt(ENCODE, 1, 1000))).isInstanceOf(AttemptEnd.Failed.class);
+        assertThat(end(attempt(ENCODE, 1, AMPLE_MILLIS))).isInstanceOf(AttemptEnd.Failed.class);
     }
 
     @Test
     void aStreamThatEndsWithoutItsLastTokenIsNotWhole() throws Exception {
         answer = event(0, "Five ", "null") + event(1, "lunches", "null") + "data: [DONE]\n\n";
-        assertThat(end(attempt(GENERATE, 1, 1000)))
+        assertThat(end(attempt(GENERATE, 1, AMPLE_MILLIS)))
                 .isEqualTo(new AttemptEnd.Failed(true, "the stream broke off at token 2"));
         answer = event(1, "lunches", "null").replace("/1\"", "/2\"")
                 + event(2, ".", "\"stop\"").replace("/1\"", "/2\"");
-        assertThat(end(attempt(GENERATE, 2, 1000)))
+        assertThat(end(attempt(GENERATE, 2, AMPLE_MILLIS)))
                 .isEqualTo(new AttemptEnd.Completed(Payload.of("{\"text\":\"Five lunches.\",\"tokens\":3}")));
     }
 
     @Test
     void aTokenOfAnotherAttemptEndsTheStream() throws Exception {
         answer = event(0, "Five ", "null").replace("r/generate/1", "q/generate/1");
-        assertThat(end(attempt(GENERATE, 1, 1000))).isInstanceOf(AttemptEnd.Failed.class);
+        assertThat(end(attempt(GENERATE, 1, AMPLE_MILLIS))).isInstanceOf(AttemptEnd.Failed.class);
     }
 
     @Test
     void anOverloadedUpstreamAndAWrongRequestAreToldApart() throws Exception {
         status = 429;
-        assertThat(end(attempt(ENCODE, 1, 1000))).isEqualTo(new AttemptEnd.Overloaded());
+        assertThat(end(attempt(ENCODE, 1, AMPLE_MILLIS))).isEqualTo(new AttemptEnd.Overloaded());
         status = 400;
-        assertThat(end(attempt(ENCODE, 2, 1000))).isInstanceOf(AttemptEnd.Rejected.class);
+        assertThat(end(attempt(ENCODE, 2, AMPLE_MILLIS))).isInstanceOf(AttemptEnd.Rejected.class);
         status = 503;
-        assertThat(end(attempt(ENCODE, 3, 1000))).isInstanceOf(AttemptEnd.Failed.class);
+        assertThat(end(attempt(ENCODE, 3, AMPLE_MILLIS))).isInstanceOf(AttemptEnd.Failed.class);
     }
 
     @Test
@@ -145,7 +148,7 @@
         try (ServerSocket socket = new ServerSocket(0)) {
             closed = socket.getLocalPort();
         }
-        AttemptEnd end = end(attempt(BOOK, 1, 1000, closed));
+        AttemptEnd end = end(attempt(BOOK, 1, AMPLE_MILLIS, closed));
         assertThat(end).isInstanceOf(AttemptEnd.Failed.class);
         assertThat(((AttemptEnd.Failed) end).byteLeft()).isFalse();
     }
@@ -161,7 +164,7 @@
             exchange.getRequestBody().readAllBytes();
             exchange.close();
         });
-        AttemptEnd end = end(attempt(BOOK, 1, 1000));
+        AttemptEnd end = end(attempt(BOOK, 1, AMPLE_MILLIS));
         assertThat(((AttemptEnd.Failed) end).byteLeft()).isTrue();
         assertThat(calls).hasValue(1);
     }
@@ -179,9 +182,9 @@
     void aRetryDoesNotUseAnOpenConnection() throws Exception {
         // A device between the ends has lost track of all connections at once. A retry on one of them would hang like
         // the first attempt, and so would the next, until the request has no attempt left.
-        end(attempt(ENCODE, 1, 1000));
-        end(onNewConnection(attempt(ENCODE, 2, 1000)));
-        end(attempt(ENCODE, 3, 1000));
+        end(attempt(ENCODE, 1, AMPLE_MILLIS));
+        end(onNewConnection(attempt(ENCODE, 2, AMPLE_MILLIS)));
+        end(attempt(ENCODE, 3, AMPLE_MILLIS));
         assertThat(connections)
                 .as("of the first and third attempt, and of the retry")
                 .hasSize(2);
@@ -207,16 +210,16 @@
         });
         upstream.start();
         try {
-            send(attempt(ENCODE, 1, 1000));
-            end(attempt(ENCODE, 2, 1000));
+            send(attempt(ENCODE, 1, AMPLE_MILLIS));
+            end(attempt(ENCODE, 2, AMPLE_MILLIS));
             awaitEnd();
-            Attempt silent = attempt(ENCODE, 3, 1000);
+            Attempt silent = attempt(ENCODE, 3, AMPLE_MILLIS);
             send(silent);
             sender.cancel(silent.id());
             awaitEnd();
             Set<InetSocketAddress> before = Set.copyOf(connections);
             connections.clear();
-            end(attempt(ENCODE, 4, 1000));
+            end(attempt(ENCODE, 4, AMPLE_MILLIS));
             assertThat(connections).doesNotContainAnyElementsOf(before);
         } finally {
             ended.countDown();
@@ -282,7 +285,7 @@
     void anAttemptThatIsGivenUpBeforeItIsSentIsNotSent() throws Exception {
         // The decision to give an attempt up overtakes its sending, which waits for a free thread. Without a note of it
         // the attempt would go out after all, and use a place at the upstream that nobody counts.
-        Attempt attempt = attempt(ENCODE, 1, 1000);
+        Attempt attempt = attempt(ENCODE, 1, AMPLE_MILLIS);
         sender.start(attempt);
         sender.cancel(attempt.id());
         later.remove(0).run();
