A node that ends takes no stream that it could not finish

Cause: after SIGTERM a node took every request until the end of its grace.

Change: streams that come later than 3 s after the signal, and everything that comes in the last 2 s of the grace, are refused as not run; short calls are served until then. The test fails without it.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -118,6 +118,11 @@
         begin(request, route.get(), customer, now);
     }
 
+    /** The kind of the route that a request would take; empty if there is none. */
+    Optional<RouteKind> kindOf(RoutedRequest request) {
+        return configuration.routes().find(request.host(), request.path()).map(Route::kind);
+    }
+
     private void refuseUnknown(RoutedRequest request, ResultCode code, String message) {
         log("refuse", request.id())
                 .field("code", code)
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -24,6 +24,7 @@
 import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.route.PieceContract;
 import org.wagtaillug.route.PoolProfile;
+import org.wagtaillug.route.RouteKind;
 import org.wagtaillug.route.ServingConfiguration;
 
 /**
@@ -131,15 +132,24 @@
         if (configuration.isEmpty()) {
             // A node that knows no configuration cannot tell a wrong path from one that it has not heard of yet.
             String message = "the node does not know its configuration yet; ask another";
-            effects.add(
-                    new ServingEffect.Refuse(request.id(), Refusal.notRun(ResultCode.NOT_READY, COME_BACK, message)));
-            effects.add(new ServingEffect.Finished(
-                    request.id(), RequestFlows.NO_ROUTE, ServingEffect.Outcome.REFUSED, Duration.ZERO));
+            refuseAtOnce(request, ResultCode.NOT_READY, COME_BACK, message);
+            return;
+        }
+        Optional<RouteKind> kind = flows.kindOf(request);
+        if (kind.isPresent() && shutdown.tooLateFor(kind.get(), now)) {
+            log(Decision.builder("refuse").field("request", request.id()).field("code", ResultCode.SHUTTING_DOWN));
+            refuseAtOnce(request, ResultCode.SHUTTING_DOWN, Duration.ZERO, "the node is shutting down; ask another");
             return;
         }
         flows.onRequest(request, now);
     }
 
+    private void refuseAtOnce(RoutedRequest request, ResultCode code, Duration retryAfter, String message) {
+        effects.add(new ServingEffect.Refuse(request.id(), Refusal.notRun(code, retryAfter, message)));
+        effects.add(new ServingEffect.Finished(
+                request.id(), RequestFlows.NO_ROUTE, ServingEffect.Outcome.REFUSED, Duration.ZERO));
+    }
+
     private void sayHello(Instant now) {
         if (!peers.helloDue(now)) {
             return;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Shutdown.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Shutdown.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.wagtaillug.route.RouteKind;
 
 /**
  * The end of a node's life: it says at once that it is not ready, and goes on serving what comes until the balancer has
@@ -18,6 +19,12 @@
     /** What is left of the grace for the process to close its sockets. */
     private static final Duration TO_EXIT = Duration.ofMillis(400);
 
+    /**
+     * Streams last for seconds, and how long is not known when they come. One that is taken later than this would be cut in
+     * its middle when the process ends; refused, it goes to another node.
+     */
+    private static final Duration TAKES_STREAMS = Duration.ofSeconds(3);
+
     private final Duration grace;
     private Optional<Instant> startedAt = Optional.empty();
     private boolean finished;
@@ -36,6 +43,15 @@
         return startedAt.isPresent();
     }
 
+    /** Whether a request that comes now would not be over before the process ends. */
+    boolean tooLateFor(RouteKind kind, Instant now) {
+        if (startedAt.isEmpty()) {
+            return false;
+        }
+        boolean stream = kind == RouteKind.STREAM;
+        return nearlyOver(now) || (stream && !now.isBefore(startedAt.get().plus(TAKES_STREAMS)));
+    }
+
     /** Whether what has not been sent anywhere has to be refused. */
     boolean nearlyOver(Instant now) {
         return startedAt.isPresent()
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingTest.java
@@ -465,4 +465,25 @@
                 .count();
         assertThat(fillers).isEqualTo(1);
     }
+
+    /**
+     * A node is asked to end. Five seconds later a guest's chat comes over a connection that was open before; the node takes
+     * it, and cuts it in the middle when the process ends two seconds later.
+     */
+    @Test
+    void aNodeThatEndsTakesNoStreamThatItCouldNotFinish() {
+        ServingWorld world = new ServingWorld(2);
+        world.usual();
+        world.handle(node(1), new ServingEvent.DrainStarted());
+        world.run(Duration.ofMillis(200));
+        RequestId early = world.ask(1, "draft", 1);
+        world.run(Duration.ofSeconds(4));
+        RequestId late = world.ask(1, "draft", 1);
+        RequestId call = world.ask(1, "confirm");
+        assertThat(world.refusals(early)).isEmpty();
+        assertThat(world.refusals(late))
+                .singleElement()
+                .satisfies(refuse -> assertThat(refuse.refusal().code()).isEqualTo(ResultCode.SHUTTING_DOWN));
+        assertThat(world.sends(call)).hasSize(1);
+    }
 }
