--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -68,6 +68,7 @@
     private final UpstreamDirectory directory;
     private final BatchOutput output;
     private final PolicyFeatures features;
+    private final CallGate gate;
     private final Map<PoolId, BatchQueue> queues = new HashMap<>();
     private final Map<PoolId, PoolThroughput> paces = new HashMap<>();
     private final Map<PoolId, BatchContract> contracts = new HashMap<>();
@@ -90,11 +91,17 @@
         }
     }
 
-    /** Fills calls to the servers of a directory. */
+    /** Fills calls to all servers of a directory. */
     public BatchScheduler(UpstreamDirectory directory, BatchOutput output, PolicyFeatures features) {
+        this(directory, output, features, CallGate.OPEN);
+    }
+
+    /** Fills calls to the servers of a directory that a gate allows. */
+    public BatchScheduler(UpstreamDirectory directory, BatchOutput output, PolicyFeatures features, CallGate gate) {
         this.directory = directory;
         this.output = output;
         this.features = features;
+        this.gate = gate;
     }
 
     /** Whether nothing waits and nothing is under way. */
@@ -247,7 +254,9 @@
     private List<StageServer> usableMakers(PoolId pool) {
         List<StageServer> usable = new ArrayList<>();
         for (Upstream upstream : directory.usable(pool)) {
-            maker(upstream.id()).ifPresent(usable::add);
+            if (gate.allows(upstream.listing())) {
+                maker(upstream.id()).ifPresent(usable::add);
+            }
         }
         return usable;
     }
@@ -259,11 +268,14 @@
             return;
         }
         List<StageServer> usable = usableMakers(pool);
-        usable.sort(Comparator.comparingDouble(StageServer::slowness));
+        usable.sort(Comparator.comparing((StageServer maker) -> !gate.first(maker.listing()))
+                .thenComparingDouble(StageServer::slowness));
         Set<DomainId> domains = new HashSet<>();
         usable.forEach(maker -> domains.add(maker.listing().domain()));
         for (StageServer maker : usable) {
-            while (maker.free(contract.slots(), now) && worthUsing(maker, usable, queue, contract)) {
+            while (gate.allows(maker.listing())
+                    && maker.free(contract.slots(), now)
+                    && worthUsing(maker, usable, queue, contract)) {
                 if (!call(maker, domains, queue, contract, now)) {
                     break;
                 }
@@ -276,8 +288,11 @@
      * take them next: it gets work only while more waits than the fastest one does in the time that it would take.
      */
     private static boolean worthUsing(
-            StageServer maker, List<StageServer> fastestFirst, BatchQueue queue, BatchContract contract) {
-        double fastest = Math.max(1, fastestFirst.getFirst().slowness());
+            StageServer maker, List<StageServer> usable, BatchQueue queue, BatchContract contract) {
+        double fastest = Double.MAX_VALUE;
+        for (StageServer each : usable) {
+            fastest = Math.min(fastest, Math.max(1, each.slowness()));
+        }
         double callsMeanwhile = Math.max(1, maker.slowness()) / fastest - 1;
         return queue.size() > (callsMeanwhile - 1) * contract.batch();
     }
@@ -301,6 +316,7 @@
         }
         maker.results().reserve(bytes);
         maker.began();
+        gate.onCall(maker.listing());
         pace(maker.listing().pool()).onCall(pieces.size(), contract.batch(), !queue.isEmpty());
         lastCall++;
         Duration timeout = contract.callOf(pieces.size()).multipliedBy(CALL_TIMEOUT_FACTOR);
@@ -358,6 +374,8 @@
 
     private void onBroken(Calling calling, String reason, Instant now) {
         calling.maker().broke(now);
+        gate.onCallEnded(
+                calling.maker().listing(), true, Duration.between(calling.startedAt(), now), expected(calling));
         output.decided(Decision.builder("piece_call_broken")
                 .field("call", calling.call().number())
                 .field("upstream", calling.call().upstream().id())
@@ -382,12 +400,10 @@
     }
 
     private void onAnswered(Calling calling, List<PieceAnswer> answers, Instant now) {
-        Duration expected = calling.pieces()
-                .getFirst()
-                .state()
-                .contract()
-                .callOf(calling.pieces().size());
-        calling.maker().answered(Duration.between(calling.startedAt(), now), expected);
+        Duration took = Duration.between(calling.startedAt(), now);
+        calling.maker().answered(took, expected(calling));
+        boolean anyFailed = answers.stream().anyMatch(PieceAnswer.Failed.class::isInstance);
+        gate.onCallEnded(calling.maker().listing(), anyFailed, took, expected(calling));
         for (int place = 0; place < calling.pieces().size(); place++) {
             BatchQueue.Waiting piece = calling.pieces().get(place);
             PieceAnswer answer = place < answers.size() ? answers.get(place) : new PieceAnswer.Failed();
@@ -410,6 +426,11 @@
         }
     }
 
+    private static Duration expected(Calling calling) {
+        BatchContract contract = calling.pieces().getFirst().state().contract();
+        return contract.callOf(calling.pieces().size());
+    }
+
     private void logNotMade(Calling calling, BatchQueue.Waiting piece, PieceAnswer answer, Instant now) {
         output.decided(Decision.builder("piece_not_made")
                 .field("request", piece.order().request())
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/Listing.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/Listing.java
@@ -16,6 +16,7 @@
  * @param domain its failure domain
  * @param leaving whether it takes nothing new soon
  * @param coldFor how much longer it bears little load
+ * @param version the version of its software; empty if it does not say
  */
 public record Listing(
         VmId id,
@@ -25,4 +26,5 @@
         int port,
         DomainId domain,
         boolean leaving,
-        Duration coldFor) {}
+        Duration coldFor,
+        String version) {}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -126,6 +126,13 @@
         return usable;
     }
 
+    /** The upstreams of a pool that may get new work and have a version that a rule allows, in the order of their names. */
+    public List<Upstream> usable(PoolId pool, VersionRule versions) {
+        List<Upstream> usable = usable(pool);
+        usable.removeIf(upstream -> !versions.allows(upstream.listing().version()));
+        return usable;
+    }
+
     /** Whether an upstream may get new work. */
     public boolean usable(VmId id) {
         Upstream held = upstreams.get(id);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/ConfigurationItem.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/ConfigurationItem.java
@@ -1,6 +1,8 @@
 package org.wagtaillug.feed;
 
 import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.rollout.RolloutOrder;
 import org.wagtaillug.route.ServingConfiguration;
 
 /** What a record of the configuration feed says. */
@@ -20,6 +22,20 @@
      */
     record DomainService(DomainId domain, boolean out) implements ConfigurationItem {}
 
+    /**
+     * A pool's requests are to move to another version of its upstreams.
+     *
+     * @param order what to move
+     */
+    record RolloutOrdered(RolloutOrder order) implements ConfigurationItem {}
+
+    /**
+     * The order of a rollout is taken back.
+     *
+     * @param pool which pool's
+     */
+    record RolloutWithdrawn(PoolId pool) implements ConfigurationItem {}
+
     /**
      * Nothing that this version of the program acts on.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
@@ -12,7 +12,9 @@
      */
     DIRECTORY(Duration.ZERO, Duration.ofMillis(700)),
     /** The nodes that have registered themselves. A fleet that starts writes dozens of records at once: the pause collects them. */
-    MEMBERSHIP(Duration.ofSeconds(2), Duration.ofMillis(500));
+    MEMBERSHIP(Duration.ofSeconds(2), Duration.ofMillis(500)),
+    /** How far rollouts are; read only while there is one. */
+    ROLLOUTS(Duration.ofSeconds(2), Duration.ZERO);
 
     /** Beyond the time between two reads: an answer that is slow, and the message that passes it on. */
     private static final Duration RELAY_ALLOWANCE = Duration.ofMillis(600);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -12,6 +12,7 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.rollout.RolloutSample;
 
 /** What nodes that route by host and path say to one another. Any message may be lost. */
 public sealed interface ServingMessage extends PeerMessage {
@@ -112,6 +113,19 @@
      */
     record PiecesWithdrawn(long number) implements ServingMessage {}
 
+    /**
+     * What requests saw at the upstreams of a pool that is being rolled out.
+     *
+     * @param order the id of the rollout's order
+     * @param samples what they saw, since the last report to the receiver
+     */
+    record RolloutReport(long order, List<RolloutSample> samples) implements ServingMessage {
+        /** Copies the list. */
+        public RolloutReport {
+            samples = List.copyOf(samples);
+        }
+    }
+
     /**
      * Results may be given up.
      *
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/rollout/RolloutPlan.java
@@ -0,0 +1,89 @@
+package org.wagtaillug.rollout;
+
+import java.time.Duration;
+
+/**
+ * The share that a new version gets in the course of a rollout: a small one that proves it, then quickly everything, then
+ * time for what the old version still works on. Answers a steady load as well as bursts: a share is one of requests.
+ */
+final class RolloutPlan {
+    /** Of the time that the operator gives. */
+    private static final double PROVED_AT = 0.42;
+
+    private static final double PROVED_AT_LATEST = 0.6;
+    private static final double QUARTER_UNTIL = 0.06;
+    private static final double HALF_UNTIL = 0.12;
+    private static final double COMPLETE_AT = 0.88;
+
+    /** Answers that prove a version; fewer do when the time runs out. */
+    private static final int MIN_ANSWERS = 20;
+
+    /** The proving share leaves room below the limit for requests that are tried again. */
+    private static final double PROVING_PART_OF_LIMIT = 0.7;
+
+    private static final double QUARTER = 0.25;
+    private static final double HALF = 0.5;
+
+    /** The time between everything going to the new version and the end of the old one, at least. */
+    private static final Duration MIN_DRAIN = Duration.ofMillis(1000);
+
+    private RolloutPlan() {}
+
+    /**
+     * The next status; the same if nothing changes.
+     *
+     * @param comparison what the new version has shown
+     * @param available whether upstreams of the new version can be used
+     * @param elapsed the time since the order
+     */
+    static RolloutStatus next(
+            RolloutOrder order,
+            RolloutStatus status,
+            VersionComparison comparison,
+            RolloutLimits limits,
+            boolean available,
+            Duration elapsed) {
+        if (status.state().isFinal()) {
+            return status;
+        }
+        if (comparison.worse()) {
+            return status.ended(RolloutStatus.State.REVERTED, elapsed);
+        }
+        if (!available) {
+            return status.share() == 0 ? status : status.withShare(0, elapsed);
+        }
+        if (status.share() >= 1) {
+            Duration drained = elapsed.minus(status.elapsed());
+            boolean complete = elapsed.compareTo(part(order, COMPLETE_AT)) >= 0 && drained.compareTo(MIN_DRAIN) >= 0;
+            return complete ? status.ended(RolloutStatus.State.COMPLETED, elapsed) : status;
+        }
+        double share = share(order, status, comparison, limits, elapsed);
+        return share == status.share() ? status : status.withShare(share, elapsed);
+    }
+
+    private static double share(
+            RolloutOrder order,
+            RolloutStatus status,
+            VersionComparison comparison,
+            RolloutLimits limits,
+            Duration elapsed) {
+        double proving = limits.ratio() * PROVING_PART_OF_LIMIT;
+        if (status.share() < proving) {
+            return proving;
+        }
+        Duration sinceChange = elapsed.minus(status.elapsed());
+        if (status.share() >= HALF) {
+            return sinceChange.compareTo(part(order, HALF_UNTIL - QUARTER_UNTIL)) >= 0 ? 1 : status.share();
+        }
+        if (status.share() >= QUARTER) {
+            return sinceChange.compareTo(part(order, QUARTER_UNTIL)) >= 0 ? HALF : status.share();
+        }
+        boolean seenEnough = comparison.candidates() >= MIN_ANSWERS && elapsed.compareTo(part(order, PROVED_AT)) >= 0;
+        boolean outOfTime = elapsed.compareTo(part(order, PROVED_AT_LATEST)) >= 0;
+        return seenEnough || outOfTime ? QUARTER : status.share();
+    }
+
+    private static Duration part(RolloutOrder order, double part) {
+        return Duration.ofNanos(Math.round(order.within().toNanos() * part));
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/rollout/Rollouts.java
@@ -0,0 +1,89 @@
+package org.wagtaillug.rollout;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.wagtaillug.directory.VersionRule;
+import org.wagtaillug.id.PoolId;
+
+/** The rollouts that this node knows of: which versions of a pool's upstreams its requests go to. */
+public final class Rollouts {
+    private final Map<PoolId, RolloutOrder> orders = new HashMap<>();
+    private final Map<PoolId, RolloutStatus> statuses = new HashMap<>();
+
+    /** An operator orders a rollout. */
+    public void onOrder(RolloutOrder order) {
+        orders.put(order.pool(), order);
+    }
+
+    /** An operator takes an order back. */
+    public void onWithdrawn(PoolId pool) {
+        orders.remove(pool);
+    }
+
+    /** The status of a rollout was read. */
+    public void onStatus(PoolId pool, RolloutStatus status) {
+        statuses.put(pool, status);
+    }
+
+    /** The status of a rollout was removed. */
+    public void onStatusRemoved(PoolId pool) {
+        statuses.remove(pool);
+    }
+
+    /** Whether an operator has ordered any rollout. */
+    public boolean any() {
+        return !orders.isEmpty();
+    }
+
+    /** The order for a pool, if there is one. */
+    public Optional<RolloutOrder> order(PoolId pool) {
+        return Optional.ofNullable(orders.get(pool));
+    }
+
+    /** The status of the order for a pool; empty if none is written yet. */
+    public Optional<RolloutStatus> status(RolloutOrder order) {
+        return Optional.ofNullable(statuses.get(order.pool())).filter(status -> status.order() == order.id());
+    }
+
+    /** The orders that are neither completed nor reverted. */
+    public List<RolloutOrder> open() {
+        List<RolloutOrder> open = new ArrayList<>();
+        for (RolloutOrder order : orders.values()) {
+            if (status(order).filter(status -> status.state().isFinal()).isEmpty()) {
+                open.add(order);
+            }
+        }
+        return open;
+    }
+
+    /** The share of a pool's requests that goes to the new version; empty without an open rollout. */
+    public Optional<Double> share(PoolId pool) {
+        return order(pool)
+                .filter(order -> open().contains(order))
+                .map(order -> status(order).map(RolloutStatus::share).orElse(0.0));
+    }
+
+    /**
+     * The versions that a request may go to.
+     *
+     * @param drawn whether the request is one of the share that the new version gets
+     */
+    public VersionRule rule(PoolId pool, boolean drawn) {
+        RolloutOrder order = orders.get(pool);
+        if (order == null) {
+            return VersionRule.ANY;
+        }
+        Optional<RolloutStatus> status = status(order);
+        if (status.isPresent() && status.get().state() == RolloutStatus.State.COMPLETED) {
+            return new VersionRule.Except(status.get().replaced());
+        }
+        boolean inProgress = status.isPresent() && status.get().state() == RolloutStatus.State.IN_PROGRESS;
+        return drawn && inProgress
+                ? new VersionRule.Only(order.version())
+                : new VersionRule.Except(Set.of(order.version()));
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.directory.VersionRule;
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.VmId;
@@ -78,14 +79,27 @@
     }
 
     /**
-     * The upstream for a request.
+     * The upstream for a request that may go to any version.
      *
      * @param tried upstreams that it must not go to again
      * @param prompt what an engine is to read; of no matter to other upstreams
      * @return empty if none may get it now
      */
     public Optional<Upstream> choose(PoolProfile pool, Set<VmId> tried, Prompt prompt, Instant now) {
-        List<Upstream> open = open(pool, tried, now);
+        return choose(pool, VersionRule.ANY, tried, prompt, now);
+    }
+
+    /**
+     * The upstream for a request.
+     *
+     * @param versions the versions that it may go to
+     * @param tried upstreams that it must not go to again
+     * @param prompt what an engine is to read; of no matter to other upstreams
+     * @return empty if none may get it now
+     */
+    public Optional<Upstream> choose(
+            PoolProfile pool, VersionRule versions, Set<VmId> tried, Prompt prompt, Instant now) {
+        List<Upstream> open = open(pool, versions, tried, now);
         if (open.isEmpty()) {
             return Optional.empty();
         }
@@ -99,9 +113,9 @@
         return candidates.stream().min(Comparator.comparing(this::expected).thenComparing(Upstream::id));
     }
 
-    private List<Upstream> open(PoolProfile pool, Set<VmId> tried, Instant now) {
+    private List<Upstream> open(PoolProfile pool, VersionRule versions, Set<VmId> tried, Instant now) {
         List<Upstream> open = new ArrayList<>();
-        for (Upstream upstream : directory.usable(pool.id())) {
+        for (Upstream upstream : directory.usable(pool.id(), versions)) {
             boolean allowed = limits.allow(pool, upstream, health.inFlight(upstream.id()), now);
             if (allowed && !tried.contains(upstream.id())) {
                 open.add(upstream);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -4,9 +4,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.wagtaillug.feed.Feed;
 import org.wagtaillug.feed.FeedBatch;
@@ -41,6 +43,7 @@
     private final Map<FeedName, FeedReader> readers = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Instant> catchUpDue = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Boolean> reachable = new EnumMap<>(FeedName.class);
+    private final Set<FeedName> active = EnumSet.complementOf(EnumSet.of(FeedName.ROLLOUTS));
     private boolean reader = true;
 
     /** Acts on what a record says. */
@@ -71,6 +74,25 @@
         reader = reads;
     }
 
+    /** Sets whether a feed is read that counts only at times. */
+    void activate(FeedName name, boolean wanted) {
+        if (wanted) {
+            active.add(name);
+        } else {
+            active.remove(name);
+        }
+    }
+
+    /** Whether this node hears of what is written to a feed, from the store or from others. */
+    boolean fresh(FeedName name, Instant now) {
+        return feeds.get(name).whole() && !readers.get(name).cutOff(now, name.relayTimeout());
+    }
+
+    /** The position after the last record that is known. */
+    long position(FeedName name) {
+        return position(feeds.get(name));
+    }
+
     /** Whether everything up to the position of a feed is known. */
     boolean whole(FeedName name) {
         return feeds.get(name).whole();
@@ -89,8 +111,8 @@
 
     /** Whether this node wants to be told what others read. */
     boolean follows(Instant now) {
-        for (FeedReader each : readers.values()) {
-            if (!reader || each.cutOff(now, STORE_READ_TIMEOUT)) {
+        for (FeedName name : active) {
+            if (!reader || readers.get(name).cutOff(now, STORE_READ_TIMEOUT)) {
                 return true;
             }
         }
@@ -99,8 +121,8 @@
 
     /** Whether the newest own read of a feed failed. */
     boolean storeLost() {
-        for (FeedReader each : readers.values()) {
-            if (each.failing()) {
+        for (FeedName name : active) {
+            if (readers.get(name).failing()) {
                 return true;
             }
         }
@@ -204,7 +226,7 @@
 
     /** Asks peers for what the store does not tell this node. */
     void catchUp(Instant now) {
-        for (FeedName name : FeedName.values()) {
+        for (FeedName name : active) {
             long position = position(feeds.get(name));
             boolean alone = readers.get(name).cutOff(now, STORE_READ_TIMEOUT);
             if (!alone || now.isBefore(catchUpDue.get(name))) {
@@ -220,7 +242,7 @@
 
     /** Reads what is due. */
     void read(Instant now) {
-        for (FeedName name : FeedName.values()) {
+        for (FeedName name : active) {
             Optional<FeedReader.Read> read = readers.get(name).next(!reader, now);
             read.ifPresent(wanted -> effects.accept(new ServingEffect.ReadFeed(name, wanted)));
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerContact.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerContact.java
@@ -30,6 +30,7 @@
 
     private static final String FEED_DUTY = "feeds";
     private static final String EXPIRY_DUTY = "membership";
+    private static final String ROLLOUT_DUTY = "rollouts";
 
     private final NodeId self;
     private final Member member;
@@ -41,6 +42,7 @@
     private List<PoolId> scheduledPools = List.of();
     private Set<VmId> connected = Set.of();
     private boolean rosterRead;
+    private boolean rollsOut;
 
     PeerContact(
             ServingSetup setup,
@@ -67,6 +69,19 @@
         depend();
     }
 
+    /** Sets whether there is a rollout under way that a node has to coordinate. */
+    void rollsOut(boolean underWay) {
+        if (underWay != rollsOut) {
+            rollsOut = underWay;
+            depend();
+        }
+    }
+
+    /** The node that coordinates rollouts. */
+    VmId rolloutCoordinator(Instant now) {
+        return peers.holder(ROLLOUT_DUTY, takesWork.getAsBoolean(), now);
+    }
+
     private void depend() {
         Map<String, Duty> duties = new HashMap<>();
         for (PoolId pool : scheduledPools) {
@@ -74,6 +89,9 @@
         }
         duties.put(FEED_DUTY, new Duty(roster.ranking(FEED_DUTY, member.domain()), FEED_READERS, true));
         duties.put(EXPIRY_DUTY, Duty.of(roster.ranking(EXPIRY_DUTY)));
+        if (rollsOut) {
+            duties.put(ROLLOUT_DUTY, new Duty(roster.ranking(ROLLOUT_DUTY), 1, true));
+        }
         peers.depend(duties);
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -15,6 +15,7 @@
 import org.wagtaillug.batch.BatchScheduler;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.directory.VersionRule;
 import org.wagtaillug.health.EngineTimes;
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.DomainId;
@@ -70,6 +71,7 @@
     private final UpstreamChooser chooser;
     private final FlowSteps steps;
     private final ServingSetup.Repeats repeats;
+    private final RolloutExchange rollouts;
     private final Shutdown shutdown;
     private final NeededTimes neededTimes = new NeededTimes();
     private final EngineTimes engineTimes = new EngineTimes();
@@ -90,6 +92,7 @@
             UpstreamHealth health,
             Roster roster,
             StepOrders orders,
+            RolloutExchange rollouts,
             Shutdown shutdown,
             Consumer<ServingEffect> effects) {
         this.directory = directory;
@@ -107,6 +110,7 @@
         this.pathEstimate = new PathEstimate(times);
         this.steps = new FlowSteps(directory, orders, times, this::likelyDomain, features);
         this.repeats = setup.repeats();
+        this.rollouts = rollouts;
         this.shutdown = shutdown;
         this.effects = effects;
         this.log = new FlowLog(effects);
@@ -297,7 +301,8 @@
                 flow.request().promptTokens(),
                 steps.domainOf(flow.inputResults()),
                 flow.inputBytes());
-        Optional<Upstream> chosen = chooser.choose(pool.get(), tried, prompt, now);
+        Optional<Upstream> chosen = chooser.choose(pool.get(), versions(flow), tried, prompt, now)
+                .or(() -> chooser.choose(pool.get(), rollouts.proved(flow.pool()), tried, prompt, now));
         if (chosen.isEmpty()) {
             waitForUpstream(flow, now);
             return;
@@ -306,12 +311,16 @@
         send(flow, chosen.get(), prompt, now);
     }
 
+    private VersionRule versions(Flow flow) {
+        return rollouts.rule(flow.pool(), flow.request().id(), flow.sends() == 0);
+    }
+
     private Optional<DomainId> likelyDomain(Flow flow, Instant now) {
         UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
                 flow.request().promptParts(), flow.request().promptTokens(), Optional.empty(), 0);
         return configuration
                 .pool(flow.pool())
-                .flatMap(pool -> chooser.choose(pool, flow.tried(), prompt, now))
+                .flatMap(pool -> chooser.choose(pool, versions(flow), flow.tried(), prompt, now))
                 .map(Upstream::domain);
     }
 
@@ -360,6 +369,7 @@
         if (!flow.answering()) {
             flow.began(now);
             flow.ranSomewhere();
+            sample(flow, false, now);
         }
         stopReading(flow);
         log.answerBegan(flow, flow.target().get(), now);
@@ -384,6 +394,9 @@
         }
         Upstream upstream = flow.target().get();
         stopReading(flow);
+        if (end instanceof SendEnd.Failed || end instanceof SendEnd.Broken) {
+            sample(flow, true, now);
+        }
         flow.unsend();
         note(flow, upstream, end, now);
         switch (end) {
@@ -401,6 +414,13 @@
         finish(flow, Outcome.PASSED, "passed", now);
     }
 
+    /** What a request saw tells a version that is rolled out from the one before. */
+    private void sample(Flow flow, boolean failed, Instant now) {
+        flow.target()
+                .ifPresent(upstream -> rollouts.sample(
+                        upstream.listing(), flow.route().id().value(), failed, Duration.between(flow.sentAt(), now)));
+    }
+
     private void note(Flow flow, Upstream upstream, SendEnd end, Instant now) {
         Duration took = Duration.between(flow.sentAt(), now);
         Optional<PoolId> pool = Optional.of(flow.pool());
@@ -519,14 +539,18 @@
         if (flow == null) {
             return;
         }
-        endSend(flow);
+        endSend(flow, now);
         finish(flow, Outcome.LEFT, "the caller left", now);
     }
 
-    private void endSend(Flow flow) {
+    private void endSend(Flow flow, Instant now) {
         if (flow.target().isPresent()) {
             effects.accept(new ServingEffect.GiveUpSend(flow.request().id(), flow.attempt()));
             stopReading(flow);
+            if (!flow.answering() && now.isAfter(flow.sentAt().plus(flow.route().aim()))) {
+                // An upstream that lets callers wait until they leave has failed them.
+                sample(flow, true, now);
+            }
             health.onCancelled(flow.target().get().id());
             flow.unsend();
         }
@@ -551,7 +575,7 @@
      */
     void endAll(Instant now) {
         for (Flow flow : List.copyOf(flows.values())) {
-            abandonSend(flow);
+            abandonSend(flow, now);
             giveUp(flow, ResultCode.SHUTTING_DOWN, "node ends before the answer has come", now);
         }
     }
@@ -576,12 +600,12 @@
     }
 
     /** Ends the attempt that is under way, which may have run; whether there was one. */
-    private boolean abandonSend(Flow flow) {
+    private boolean abandonSend(Flow flow, Instant now) {
         boolean sent = flow.target().isPresent();
         if (sent && !flow.mayHaveRun()) {
             flow.ranSomewhere();
         }
-        endSend(flow);
+        endSend(flow, now);
         return sent;
     }
 
@@ -590,7 +614,7 @@
             // A stream that has gone on for so long says what another may take. An upstream that hangs says nothing.
             neededTimes.onAnswered(flow, now);
         }
-        boolean sent = abandonSend(flow);
+        boolean sent = abandonSend(flow, now);
         if (sent || flow.mayHaveRun()) {
             giveUp(flow, ResultCode.DEADLINE_EXCEEDED, "the deadline has passed", now);
             return;
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
@@ -0,0 +1,260 @@
+package org.wagtaillug.serving;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.wagtaillug.batch.CallGate;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.directory.Upstream;
+import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.directory.VersionRule;
+import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedRecord;
+import org.wagtaillug.feed.RolloutItem;
+import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.node.Decision;
+import org.wagtaillug.rollout.RolloutCoordinator;
+import org.wagtaillug.rollout.RolloutOrder;
+import org.wagtaillug.rollout.RolloutSample;
+import org.wagtaillug.rollout.Rollouts;
+
+/**
+ * This node's part in rollouts: its requests follow the share that the store holds, it reports what they saw, and it
+ * coordinates if that is its duty.
+ */
+final class RolloutExchange {
+    private static final Duration REPORT_INTERVAL = Duration.ofMillis(150);
+
+    /** Samples that are kept for a node that takes over the coordination. */
+    private static final int MAX_SAMPLES = 512;
+
+    /** Samples of one report. */
+    private static final int MAX_REPORTED = 256;
+
+    /** Odd, so that ids that differ in their last character only are not drawn together. */
+    private static final int SPREAD = 0x9E3779B1;
+
+    private static final double DRAWS = 4294967296.0;
+
+    private final ServingSetup setup;
+    private final UpstreamDirectory directory;
+    private final Consumer<ServingEffect> effects;
+    private final Rollouts rollouts = new Rollouts();
+    private final RolloutCoordinator coordinator;
+    private final RolloutCoordinator.Versions versions = new DirectoryVersions();
+    private final Map<Long, Samples> samples = new HashMap<>();
+    private final RolloutCallGate callGate;
+    private boolean fresh;
+
+    private static final class Samples {
+        private final Deque<RolloutSample> kept = new ArrayDeque<>();
+        private int unreported;
+        private Optional<VmId> receiver = Optional.empty();
+        private Instant reportDue = Instant.EPOCH;
+
+        private void add(RolloutSample sample) {
+            kept.addLast(sample);
+            unreported++;
+            if (kept.size() > MAX_SAMPLES) {
+                kept.removeFirst();
+            }
+            unreported = Math.min(unreported, kept.size());
+        }
+
+        /** What a receiver has not been told; a new one is told everything. */
+        private List<RolloutSample> take(VmId newest) {
+            if (!receiver.equals(Optional.of(newest))) {
+                receiver = Optional.of(newest);
+                unreported = kept.size();
+            }
+            List<RolloutSample> all = new ArrayList<>(kept);
+            List<RolloutSample> taken = all.subList(all.size() - unreported, all.size());
+            unreported = 0;
+            return taken;
+        }
+    }
+
+    RolloutExchange(ServingSetup setup, UpstreamDirectory directory, Consumer<ServingEffect> effects) {
+        this.setup = setup;
+        this.directory = directory;
+        this.effects = effects;
+        this.coordinator = new RolloutCoordinator(rollouts, setup.rolloutLimits());
+        this.callGate = new RolloutCallGate(rollouts, directory, this::sample, () -> fresh);
+    }
+
+    void onOrder(RolloutOrder order, Instant now) {
+        rollouts.onOrder(order);
+        coordinator.onOrder(order, now);
+        log(Decision.builder("rollout_ordered")
+                .field("pool", order.pool())
+                .field("version", order.version())
+                .field("within_ms", order.within().toMillis())
+                .field("offset", order.id()));
+    }
+
+    void onWithdrawn(PoolId pool, FeedRecord record) {
+        rollouts.onWithdrawn(pool);
+        log(Decision.builder("rollout_withdrawn").field("pool", pool).field("offset", record.offset()));
+    }
+
+    /** A record of the rollouts feed. */
+    void onRecord(FeedRecord record, Instant now) {
+        switch (setup.decoder().rollout(record)) {
+            case RolloutItem.Reported reported -> {
+                rollouts.onStatus(reported.pool(), reported.status());
+                coordinator.onStatus(reported.status(), now);
+                log(Decision.builder("rollout_status")
+                        .field("pool", reported.pool())
+                        .field("version", reported.status().version())
+                        .field("state", reported.status().state())
+                        .field("share", reported.status().share())
+                        .field("offset", record.offset()));
+            }
+            case RolloutItem.Removed removed -> rollouts.onStatusRemoved(removed.pool());
+            case RolloutItem.Ignored ignored ->
+                log(Decision.builder("record_ignored")
+                        .field("key", record.key())
+                        .field("offset", record.offset())
+                        .field("reason", ignored.reason()));
+        }
+    }
+
+    /** Whether the status of a rollout has to be known. */
+    boolean underWay() {
+        return !rollouts.open().isEmpty();
+    }
+
+    /**
+     * The versions that a request may go to.
+     *
+     * @param first whether it was sent nowhere yet; what goes elsewhere after that is not sent to a version on trial
+     */
+    VersionRule rule(PoolId pool, RequestId request, boolean first) {
+        double share = rollouts.share(pool).orElse(0.0);
+        boolean everything = share >= 1;
+        boolean drawn = first && fresh && draw(request) < share;
+        VersionRule rule = rollouts.rule(pool, everything || drawn);
+        // A share that no upstream can take now, and a request that has to go on elsewhere, fall back to what is
+        // proved.
+        return directory.usable(pool, rule).isEmpty() ? proved(pool) : rule;
+    }
+
+    /** The versions that are not on trial. */
+    VersionRule proved(PoolId pool) {
+        return rollouts.rule(pool, false);
+    }
+
+    private static double draw(RequestId request) {
+        return Integer.toUnsignedLong(request.value().hashCode() * SPREAD) / DRAWS;
+    }
+
+    /** Which stage servers may be called, and what came of the calls. */
+    CallGate callGate() {
+        return callGate;
+    }
+
+    /**
+     * A request has seen something at an upstream.
+     *
+     * @param kind requests of one kind are compared with one another
+     */
+    void sample(Listing upstream, String kind, boolean failed, Duration took) {
+        Optional<RolloutOrder> order = rollouts.order(upstream.pool());
+        if (order.isEmpty() || rollouts.share(upstream.pool()).isEmpty()) {
+            return;
+        }
+        boolean candidate = upstream.version().equals(order.get().version());
+        samples.computeIfAbsent(order.get().id(), id -> new Samples())
+                .add(new RolloutSample(kind, candidate, failed, took));
+    }
+
+    /** Another node reports what its requests saw. */
+    void onReport(ServingMessage.RolloutReport report, Instant now) {
+        coordinator.onSamples(report.order(), report.samples(), now);
+    }
+
+    /**
+     * Reports to the coordinator, or coordinates.
+     *
+     * @param holder the node that coordinates
+     * @param statusFresh whether this node hears of each new status
+     * @param position the end of the rollouts feed as far as it is known
+     */
+    void onTick(VmId holder, boolean statusFresh, long position, Instant now) {
+        fresh = statusFresh;
+        boolean coordinates = holder.equals(setup.self().vm());
+        for (RolloutOrder order : rollouts.open()) {
+            report(order, holder, coordinates, now);
+        }
+        if (coordinates && statusFresh) {
+            coordinator.due(versions, now).forEach(write -> write(write, position));
+        }
+    }
+
+    private void report(RolloutOrder order, VmId holder, boolean coordinates, Instant now) {
+        Samples own = samples.computeIfAbsent(order.id(), id -> new Samples());
+        if (now.isBefore(own.reportDue)) {
+            return;
+        }
+        own.reportDue = now.plus(REPORT_INTERVAL);
+        List<RolloutSample> taken = own.take(holder);
+        if (coordinates) {
+            coordinator.onSamples(order.id(), taken, now);
+            return;
+        }
+        for (int from = 0; from < taken.size(); from += MAX_REPORTED) {
+            List<RolloutSample> part = taken.subList(from, Math.min(taken.size(), from + MAX_REPORTED));
+            effects.accept(new ServingEffect.SendToPeer(holder, new ServingMessage.RolloutReport(order.id(), part)));
+        }
+    }
+
+    private void write(RolloutCoordinator.Write write, long position) {
+        log(Decision.builder("rollout_decided")
+                .field("pool", write.order().pool())
+                .field("version", write.order().version())
+                .field("state", write.status().state())
+                .field("share", write.status().share())
+                .field("elapsed_ms", write.status().elapsed().toMillis())
+                .field("answers", write.comparison().candidates())
+                .field("bad", write.comparison().badCandidates())
+                .field("worse", write.comparison().worse()));
+        effects.accept(new ServingEffect.WriteRecord(
+                FeedName.ROLLOUTS,
+                setup.decoder().rolloutKey(write.order().pool()),
+                Optional.of(setup.decoder().encode(write.status())),
+                OptionalLong.of(position)));
+    }
+
+    private void log(Decision.Builder decision) {
+        effects.accept(new ServingEffect.LogDecision(decision.build()));
+    }
+
+    private final class DirectoryVersions implements RolloutCoordinator.Versions {
+        @Override
+        public boolean available(PoolId pool, String version) {
+            return !directory.usable(pool, new VersionRule.Only(version)).isEmpty();
+        }
+
+        @Override
+        public Set<String> of(PoolId pool) {
+            Set<String> found = new HashSet<>();
+            for (Upstream upstream : directory.usable(pool)) {
+                found.add(upstream.listing().version());
+            }
+            return found;
+        }
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -45,6 +45,7 @@
     private final Peers peers;
     private final PeerContact contact;
     private final FeedExchange feeds;
+    private final RolloutExchange rollouts;
     private final StepOrders orders;
     private final RequestFlows flows;
     private final Shutdown shutdown;
@@ -60,8 +61,9 @@
         shutdown = new Shutdown(setup.drainGrace());
         contact = new PeerContact(setup, roster, peers, effects::add, () -> !shutdown.started());
         feeds = new FeedExchange(peers, effects::add, this::take);
-        orders = new StepOrders(setup, peers, directory, effects::add, () -> !shutdown.started());
-        flows = new RequestFlows(setup, directory, health, roster, orders, shutdown, effects::add);
+        rollouts = new RolloutExchange(setup, directory, effects::add);
+        orders = new StepOrders(setup, peers, directory, rollouts.callGate(), effects::add, () -> !shutdown.started());
+        flows = new RequestFlows(setup, directory, health, roster, orders, rollouts, shutdown, effects::add);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, present));
     }
 
@@ -94,6 +96,7 @@
             case ServingEvent.DrainStarted started -> onDrainStarted(started.askedAt(), now);
             case ServingEvent.PortsClosing ignored -> shutdown.closePorts();
         }
+        feeds.activate(FeedName.ROLLOUTS, rollouts.underWay());
         feeds.read(now);
         tellReadiness();
         List<ServingEffect> wanted = List.copyOf(effects);
@@ -107,6 +110,7 @@
         }
         contact.onTick(feeds.whole(FeedName.MEMBERSHIP), orders.partners(), reply -> heartbeat(reply, now), now);
         feeds.reader(contact.readsStore(now));
+        onRolloutTick(now);
         feeds.catchUp(now);
         flows.onTick(now);
         if (shutdown.started()) {
@@ -122,6 +126,18 @@
         }
     }
 
+    private void onRolloutTick(Instant now) {
+        boolean underWay = rollouts.underWay();
+        contact.rollsOut(underWay);
+        if (underWay) {
+            rollouts.onTick(
+                    contact.rolloutCoordinator(now),
+                    feeds.fresh(FeedName.ROLLOUTS, now),
+                    feeds.position(FeedName.ROLLOUTS),
+                    now);
+        }
+    }
+
     private void endOverdue(Instant now) {
         if (shutdown.pollNoticed(now)) {
             effects.add(new ServingEffect.CloseIdleConnections());
@@ -179,6 +195,7 @@
             case ServingMessage.PiecesWanted wanted -> onWanted(sender, wanted, now);
             case ServingMessage.PiecesAnswered answered -> orders.onAnswered(sender, answered, now);
             case ServingMessage.PiecesWithdrawn withdrawn -> orders.onWithdrawn(sender, withdrawn.number(), now);
+            case ServingMessage.RolloutReport report -> rollouts.onReport(report, now);
             case ServingMessage.ResultsReleased released -> orders.scheduler().onReleased(released.results());
         }
     }
@@ -196,7 +213,7 @@
     private boolean take(FeedName name, FeedRecord record, boolean storeUnstable, Instant now) {
         return switch (name) {
             case CONFIGURATION -> {
-                takeConfiguration(record);
+                takeConfiguration(record, now);
                 yield true;
             }
             case DIRECTORY -> takeDirectory(record, storeUnstable, now);
@@ -204,10 +221,14 @@
                 contact.onRecord(record, now);
                 yield true;
             }
+            case ROLLOUTS -> {
+                rollouts.onRecord(record, now);
+                yield true;
+            }
         };
     }
 
-    private void takeConfiguration(FeedRecord record) {
+    private void takeConfiguration(FeedRecord record, Instant now) {
         switch (setup.decoder().configuration(record)) {
             case ConfigurationItem.Published published -> publish(published.configuration(), record);
             case ConfigurationItem.DomainService service -> {
@@ -217,6 +238,8 @@
                         .field("out", service.out())
                         .field("offset", record.offset()));
             }
+            case ConfigurationItem.RolloutOrdered ordered -> rollouts.onOrder(ordered.order(), now);
+            case ConfigurationItem.RolloutWithdrawn withdrawn -> rollouts.onWithdrawn(withdrawn.pool(), record);
             case ConfigurationItem.Ignored ignored ->
                 log(Decision.builder("record_ignored")
                         .field("key", record.key())
@@ -293,7 +316,8 @@
         boolean known = configuration.isPresent()
                 && feeds.whole(FeedName.DIRECTORY)
                 && feeds.whole(FeedName.MEMBERSHIP)
-                && peers.settled();
+                && peers.settled()
+                && (saidReady.orElse(false) || !rollouts.underWay() || feeds.whole(FeedName.ROLLOUTS));
         boolean ready = known && !shutdown.started();
         if (saidReady.isPresent() && saidReady.get() == ready) {
             return;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.wagtaillug.batch.BatchCall;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.feed.FeedName;
@@ -122,8 +123,15 @@
      * @param feed which
      * @param key of the record
      * @param value its content; empty to remove the key
+     * @param expectedEnd the write is to fail unless the feed ends here; empty to write whatever was written before
      */
-    record WriteRecord(FeedName feed, String key, Optional<byte[]> value) implements ServingEffect {}
+    record WriteRecord(FeedName feed, String key, Optional<byte[]> value, OptionalLong expectedEnd)
+            implements ServingEffect {
+        /** A write that does not depend on others. */
+        WriteRecord(FeedName feed, String key, Optional<byte[]> value) {
+            this(feed, key, value, OptionalLong.empty());
+        }
+    }
 
     /**
      * Callers may send this from now on.
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingSetup.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingSetup.java
@@ -8,6 +8,7 @@
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.policy.PolicyFeatures;
+import org.wagtaillug.rollout.RolloutLimits;
 import org.wagtaillug.routing.UpstreamLimits.ColdBound;
 
 /**
@@ -27,6 +28,7 @@
     private final PolicyFeatures features;
     private final double capacity;
     private final ColdBound coldBound;
+    private final RolloutLimits rolloutLimits;
 
     private static final ColdBound DEFAULT_COLD_BOUND = new ColdBound(1.5, 5);
 
@@ -52,6 +54,7 @@
         features = builder.features;
         capacity = builder.capacity;
         coldBound = builder.coldBound;
+        rolloutLimits = builder.rolloutLimits;
     }
 
     /** Starts a setup without seeds. */
@@ -104,6 +107,11 @@
         return coldBound;
     }
 
+    /** What a version that may be bad gets at most. */
+    public RolloutLimits rolloutLimits() {
+        return rolloutLimits;
+    }
+
     /** Collects the parts of a {@link ServingSetup}. */
     public static final class Builder {
         private static final Duration DEFAULT_GRACE = Duration.ofSeconds(8);
@@ -117,6 +125,7 @@
         private PolicyFeatures features = PolicyFeatures.ALL;
         private double capacity = 1;
         private ColdBound coldBound = DEFAULT_COLD_BOUND;
+        private RolloutLimits rolloutLimits = RolloutLimits.DEFAULT;
 
         private Builder(NodeId self, DomainId domain, RecordDecoder decoder) {
             this.self = self;
@@ -160,6 +169,12 @@
             return this;
         }
 
+        /** Sets what a version that may be bad gets at most. */
+        public Builder rolloutLimits(RolloutLimits limits) {
+            rolloutLimits = limits;
+            return this;
+        }
+
         /** Makes the setup. */
         public ServingSetup build() {
             return new ServingSetup(this);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -15,6 +15,7 @@
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.batch.BatchOutput;
 import org.wagtaillug.batch.BatchScheduler;
+import org.wagtaillug.batch.CallGate;
 import org.wagtaillug.batch.OrderId;
 import org.wagtaillug.batch.StepResult;
 import org.wagtaillug.directory.Listing;
@@ -86,6 +87,7 @@
             ServingSetup setup,
             Peers peers,
             UpstreamDirectory directory,
+            CallGate gate,
             Consumer<ServingEffect> effects,
             BooleanSupplier takesWork) {
         this.self = setup.self();
@@ -93,7 +95,7 @@
         this.peers = peers;
         this.effects = effects;
         this.takesWork = takesWork;
-        this.scheduler = new BatchScheduler(directory, new SchedulerOutput(), setup.features());
+        this.scheduler = new BatchScheduler(directory, new SchedulerOutput(), setup.features(), gate);
     }
 
     /** Sets who hears what became of this node's orders. */
--- a/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerRandomTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerRandomTest.java
@@ -73,7 +73,7 @@
                     Duration.ofSeconds(4));
             for (int server = 0; server < servers; server++) {
                 VmId id = new VmId("i-" + server);
-                directory.onListing(new Listing(id, 1, POOL, "10.0.0.1", 80, DOMAIN, false, Duration.ZERO), START);
+                directory.onListing(new Listing(id, 1, POOL, "10.0.0.1", 80, DOMAIN, false, Duration.ZERO, ""), START);
                 calls.put(id, 0);
                 used.put(id, 0L);
             }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerTest.java
@@ -63,7 +63,7 @@
     }
 
     private void server(String id, DomainId domain) {
-        directory.onListing(new Listing(new VmId(id), 1, POOL, "10.0.0.1", 80, domain, false, Duration.ZERO), now);
+        directory.onListing(new Listing(new VmId(id), 1, POOL, "10.0.0.1", 80, domain, false, Duration.ZERO, ""), now);
     }
 
     private long order(int pieces, int rank, Duration aim, long bytes, Optional<DomainId> near) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/directory/UpstreamDirectoryTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/directory/UpstreamDirectoryTest.java
@@ -18,7 +18,7 @@
     private final UpstreamDirectory directory = new UpstreamDirectory();
 
     private static Listing listing(long incarnation, boolean leaving) {
-        return new Listing(ID, incarnation, POOL, "10.0.0.1", 80, NORTH, leaving, Duration.ZERO);
+        return new Listing(ID, incarnation, POOL, "10.0.0.1", 80, NORTH, leaving, Duration.ZERO, "");
     }
 
     @Test
--- a/wagtaillug-core/src/test/java/org/wagtaillug/routing/ColdUpstreamFleetTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/routing/ColdUpstreamFleetTest.java
@@ -89,7 +89,15 @@
         Random random = new Random(seed);
         for (int engine = 0; engine < 3; engine++) {
             Listing listing = new Listing(
-                    new VmId("i-" + seed + "-" + engine), 1, POOL, "10.0.0.1", 80, DOMAIN, false, Duration.ofHours(1));
+                    new VmId("i-" + seed + "-" + engine),
+                    1,
+                    POOL,
+                    "10.0.0.1",
+                    80,
+                    DOMAIN,
+                    false,
+                    Duration.ofHours(1),
+                    "");
             directory.onListing(listing, START);
         }
         for (int number = 0; number < NODES; number++) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/routing/PrefixLoadTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/routing/PrefixLoadTest.java
@@ -84,7 +84,8 @@
     private void start(int nodes, int engines) {
         for (int number = 0; number < engines; number++) {
             VmId id = new VmId("i-" + Integer.toHexString(number * 7919 + 13));
-            directory.onListing(new Listing(id, 1, POOL, "10.0.0.1", 80, domain(number), false, Duration.ZERO), START);
+            directory.onListing(
+                    new Listing(id, 1, POOL, "10.0.0.1", 80, domain(number), false, Duration.ZERO, ""), START);
         }
         for (int number = 0; number < nodes; number++) {
             UpstreamHealth health = new UpstreamHealth();
--- a/wagtaillug-core/src/test/java/org/wagtaillug/routing/PrefixPlacementTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/routing/PrefixPlacementTest.java
@@ -39,7 +39,8 @@
     void start() {
         for (int number = 0; number < 12; number++) {
             directory.onListing(
-                    new Listing(new VmId("i-" + number), 1, POOL, "10.0.0.1", 80, DOMAIN, false, Duration.ZERO), now);
+                    new Listing(new VmId("i-" + number), 1, POOL, "10.0.0.1", 80, DOMAIN, false, Duration.ZERO, ""),
+                    now);
         }
         for (int node = 0; node < 6; node++) {
             nodes.add(new UpstreamChooser(
--- a/wagtaillug-core/src/test/java/org/wagtaillug/routing/UpstreamChooserTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/routing/UpstreamChooserTest.java
@@ -44,7 +44,8 @@
         for (int number = 1; number <= 8; number++) {
             DomainId domain = number <= 4 ? NORTH : SOUTH;
             directory.onListing(
-                    new Listing(new VmId("i-" + number), 1, POOL, "10.0.0." + number, 80, domain, false, Duration.ZERO),
+                    new Listing(
+                            new VmId("i-" + number), 1, POOL, "10.0.0." + number, 80, domain, false, Duration.ZERO, ""),
                     NOW);
         }
     }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/LoadWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/LoadWorld.java
@@ -20,6 +20,7 @@
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.feed.RecordDecoder;
+import org.wagtaillug.feed.RolloutItem;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
@@ -27,6 +28,7 @@
 import org.wagtaillug.id.RouteId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.policy.PolicyFeatures;
+import org.wagtaillug.rollout.RolloutStatus;
 import org.wagtaillug.route.BatchContract;
 import org.wagtaillug.route.CallerLimits;
 import org.wagtaillug.route.PoolProfile;
@@ -187,6 +189,21 @@
             public DirectoryItem directory(FeedRecord record) {
                 return contents.get(record.key());
             }
+
+            @Override
+            public RolloutItem rollout(FeedRecord record) {
+                return new RolloutItem.Ignored("not played");
+            }
+
+            @Override
+            public String rolloutKey(PoolId pool) {
+                return "rollout/" + pool;
+            }
+
+            @Override
+            public byte[] encode(RolloutStatus status) {
+                return new byte[0];
+            }
         };
     }
 
@@ -202,8 +219,8 @@
     private void list(List<FeedRecord> records, PoolId pool, int count) {
         for (int number = 0; number < count; number++) {
             VmId id = new VmId(pool + "-" + number);
-            Listing listing =
-                    new Listing(id, 1, pool, "10.0.0.1", 80, DOMAINS[number % DOMAINS.length], false, Duration.ZERO);
+            Listing listing = new Listing(
+                    id, 1, pool, "10.0.0.1", 80, DOMAINS[number % DOMAINS.length], false, Duration.ZERO, "");
             contents.put(id.value(), new DirectoryItem.Listed(listing));
             records.add(record(id.value(), records.size()));
             configuration()
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RolloutLoadTest.java
@@ -0,0 +1,272 @@
+package org.wagtaillug.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.rollout.RolloutLimits;
+import org.wagtaillug.rollout.RolloutStatus;
+import org.wagtaillug.rollout.RolloutStatus.State;
+
+/** Plays a steady load while a pool is rolled out, and checks what its upstreams and callers get. */
+class RolloutLoadTest {
+    private static final String OLD = "v1";
+    private static final String NEW = "v2";
+    private static final Duration WITHIN = Duration.ofSeconds(12);
+    private static final Duration ANSWER = Duration.ofMillis(100);
+    private static final int NODES = 5;
+    private static final int REQUESTS_IN_STEP = 2;
+    private static final Duration STEP = Duration.ofMillis(20);
+    private static final RolloutLimits LIMITS = RolloutLimits.DEFAULT;
+
+    private final ServingWorld world = new ServingWorld(NODES);
+    private final Random random = new Random(4711);
+    private final List<Arrival> arrivals = new ArrayList<>();
+    private final List<Answer> pending = new ArrayList<>();
+    private final Set<RequestId> answered = new HashSet<>();
+    private final Set<Integer> stopped = new HashSet<>();
+    private int asked;
+    private int failedRequests;
+
+    private record Arrival(Instant at, Listing upstream, int node) {}
+
+    private record Answer(Instant at, int node, RequestId request, SendEnd end) {}
+
+    /** How the new version answers. */
+    private interface Behaviour {
+        /** Whether an answer is bad. */
+        boolean bad(Instant now, int newInFlight, Random random);
+    }
+
+    private void prepare() {
+        world.usual();
+        for (int server = 1; server <= 4; server++) {
+            world.list("old-" + server, ServingWorld.ORDERS, OLD);
+        }
+        world.remove(FeedName.DIRECTORY, "orders-1");
+        world.remove(FeedName.DIRECTORY, "orders-2");
+        world.run(Duration.ofSeconds(1));
+        world.rollOut(ServingWorld.ORDERS, NEW, WITHIN);
+        for (int server = 1; server <= 4; server++) {
+            world.list("new-" + server, ServingWorld.ORDERS, NEW);
+        }
+    }
+
+    private void play(Duration time, Behaviour behaviour) {
+        Instant end = world.now.plus(time);
+        while (world.now.isBefore(end)) {
+            for (int each = 0; each < REQUESTS_IN_STEP; each++) {
+                int node = 1 + random.nextInt(NODES);
+                if (!stopped.contains(node)) {
+                    ask(node, behaviour);
+                }
+            }
+            deliver(behaviour);
+            world.run(STEP);
+        }
+    }
+
+    private void ask(int node, Behaviour behaviour) {
+        int before = world.history.size();
+        RequestId request = new RequestId("request-" + random.nextLong());
+        world.ask(node, request, "/lookup/1", Optional.of(ServingWorld.KEY));
+        asked++;
+        receive(node, before, behaviour);
+    }
+
+    private void receive(int node, int from, Behaviour behaviour) {
+        for (int index = from; index < world.history.size(); index++) {
+            if (world.history.get(index) instanceof ServingEffect.Send send) {
+                receive(node, send.order(), behaviour);
+            }
+        }
+    }
+
+    private void receive(int node, SendOrder order, Behaviour behaviour) {
+        Listing upstream = order.upstream();
+        arrivals.add(new Arrival(world.now, upstream, node));
+        boolean isNew = upstream.version().equals(NEW);
+        boolean bad = isNew && behaviour.bad(world.now, newInFlight(), random);
+        SendEnd end = bad ? new SendEnd.Failed(500) : new SendEnd.Passed();
+        pending.add(new Answer(world.now.plus(ANSWER), node, order.request(), end));
+    }
+
+    private int newInFlight() {
+        int count = 0;
+        for (Arrival arrival : arrivals) {
+            boolean open = arrival.at().plus(ANSWER).isAfter(world.now);
+            count += open && arrival.upstream().version().equals(NEW) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private void deliver(Behaviour behaviour) {
+        for (Answer answer : List.copyOf(pending)) {
+            if (answer.at().isAfter(world.now)) {
+                continue;
+            }
+            pending.remove(answer);
+            int before = world.history.size();
+            world.end(answer.node(), answer.request(), answer.end());
+            answered.add(answer.request());
+            failedRequests += answer.end() instanceof SendEnd.Failed ? 1 : 0;
+            receive(answer.node(), before, behaviour);
+        }
+    }
+
+    private long arrivedAt(String version, Instant from) {
+        return arrivals.stream()
+                .filter(each -> each.upstream().version().equals(version))
+                .filter(each -> !each.at().isBefore(from))
+                .count();
+    }
+
+    private State state() {
+        return world.rolloutStatus().map(RolloutStatus::state).orElse(State.IN_PROGRESS);
+    }
+
+    private void assertExposureBounded() {
+        double limit = arrivals.size() * LIMITS.ratio() + LIMITS.fixed();
+        assertThat(arrivedAt(NEW, Instant.EPOCH)).isLessThanOrEqualTo((long) limit);
+    }
+
+    @Test
+    void completesAGoodVersionInTimeAndUsesItAlone() {
+        prepare();
+        play(WITHIN, (now, inFlight, any) -> false);
+        assertThat(state()).isEqualTo(State.COMPLETED);
+        Instant completed = world.now;
+        play(Duration.ofSeconds(1), (now, inFlight, any) -> false);
+        assertThat(arrivedAt(OLD, completed)).isZero();
+        assertThat(arrivedAt(NEW, completed)).isPositive();
+        assertThat(world.all(ServingEffect.Refuse.class)).isEmpty();
+    }
+
+    /** Guards against stopping servers that requests still run on: the old version's servers end without draining. */
+    @Test
+    void sendsNothingToTheOldVersionForASecondBeforeItCompletes() {
+        prepare();
+        Instant lastOld = Instant.EPOCH;
+        while (state() != State.COMPLETED) {
+            play(STEP, (now, inFlight, any) -> false);
+            lastOld = arrivals.stream()
+                    .filter(each -> each.upstream().version().equals(OLD))
+                    .map(Arrival::at)
+                    .max(Instant::compareTo)
+                    .orElse(lastOld);
+        }
+        assertThat(Duration.between(lastOld, world.now)).isGreaterThan(Duration.ofMillis(900));
+    }
+
+    @ParameterizedTest
+    @ValueSource(doubles = {0.3, 0.46, 0.5, 1})
+    void revertsAVersionThatFails(double share) {
+        prepare();
+        play(WITHIN, (now, inFlight, any) -> any.nextDouble() < share);
+        assertThat(state()).isEqualTo(State.REVERTED);
+        assertExposureBounded();
+    }
+
+    /** Guards against trusting a version for its first seconds only. */
+    @Test
+    void revertsAVersionThatTurnsBadAfterSomeSeconds() {
+        prepare();
+        Instant bad = world.now.plusSeconds(3);
+        play(WITHIN, (now, inFlight, any) -> now.isAfter(bad) && any.nextBoolean());
+        assertThat(state()).isEqualTo(State.REVERTED);
+        assertExposureBounded();
+    }
+
+    /** Guards against a version that holds out under a small share and fails under all requests. */
+    @Test
+    void revertsAVersionThatFailsUnderLoad() {
+        prepare();
+        play(WITHIN, (now, inFlight, any) -> inFlight > 4 && any.nextBoolean());
+        assertThat(state()).isEqualTo(State.REVERTED);
+        assertExposureBounded();
+    }
+
+    @Test
+    void sendsNothingMoreToARevertedVersion() {
+        prepare();
+        while (state() != State.REVERTED) {
+            play(STEP, (now, inFlight, any) -> any.nextBoolean());
+        }
+        play(Duration.ofMillis(300), (now, inFlight, any) -> any.nextBoolean());
+        Instant settled = world.now;
+        play(Duration.ofSeconds(3), (now, inFlight, any) -> any.nextBoolean());
+        assertThat(arrivedAt(NEW, settled)).isZero();
+    }
+
+    /** Guards against a rollout that stays where it is when the node that coordinates it dies. */
+    @Test
+    void anotherNodeGoesOnWhenTheCoordinatorDies() {
+        prepare();
+        play(Duration.ofSeconds(4), (now, inFlight, any) -> false);
+        VmId coordinator = coordinator();
+        world.dead.add(coordinator);
+        for (int node = 1; node <= NODES; node++) {
+            if (ServingWorld.node(node).equals(coordinator)) {
+                stopped.add(node);
+            }
+        }
+        play(WITHIN.minusSeconds(4), (now, inFlight, any) -> false);
+        assertThat(state()).isEqualTo(State.COMPLETED);
+    }
+
+    private VmId coordinator() {
+        for (VmId node : world.nodes.keySet()) {
+            boolean writes = world.said.get(node).stream()
+                    .anyMatch(effect ->
+                            effect instanceof ServingEffect.WriteRecord write && write.feed() == FeedName.ROLLOUTS);
+            if (writes) {
+                return node;
+            }
+        }
+        throw new AssertionError("no node writes the status");
+    }
+
+    /** Guards against requests for a version on trial from a node that would not hear of its end. */
+    @Test
+    void aNodeThatHearsNothingSendsNothingToAVersionOnTrial() {
+        prepare();
+        play(Duration.ofSeconds(3), (now, inFlight, any) -> false);
+        VmId deaf = ServingWorld.node(3);
+        world.cutFromStore.add(deaf);
+        world.isolated.add(deaf);
+        play(Duration.ofSeconds(4), (now, inFlight, any) -> false);
+        Instant silent = world.now;
+        play(Duration.ofSeconds(2), (now, inFlight, any) -> false);
+        long fromDeaf = arrivals.stream()
+                .filter(each -> each.node() == 3 && each.at().isAfter(silent))
+                .filter(each -> each.upstream().version().equals(NEW))
+                .count();
+        assertThat(fromDeaf).isZero();
+    }
+
+    /** Guards against a node that starts after the end of a rollout and sends to the version that lost. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aNodeThatStartsLaterKnowsHowItEnded(boolean good) {
+        prepare();
+        play(WITHIN, (now, inFlight, any) -> !good && any.nextBoolean());
+        assertThat(state()).isEqualTo(good ? State.COMPLETED : State.REVERTED);
+        world.start(ServingWorld.node(2), 2);
+        Instant started = world.now;
+        play(Duration.ofSeconds(3), (now, inFlight, any) -> !good && any.nextBoolean());
+        assertThat(arrivedAt(good ? OLD : NEW, started)).isZero();
+    }
+}
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -23,6 +23,7 @@
 import org.wagtaillug.feed.FeedReader;
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.feed.RecordDecoder;
+import org.wagtaillug.feed.RolloutItem;
 import org.wagtaillug.id.CustomerId;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
@@ -31,6 +32,8 @@
 import org.wagtaillug.id.RouteId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.rollout.RolloutOrder;
+import org.wagtaillug.rollout.RolloutStatus;
 import org.wagtaillug.route.BatchContract;
 import org.wagtaillug.route.CallerLimits;
 import org.wagtaillug.route.Customer;
@@ -70,10 +73,15 @@
     final Set<VmId> cutFromStore = new HashSet<>();
     final Set<VmId> refusedByStore = new HashSet<>();
     final Set<VmId> dead = new HashSet<>();
+
+    /** Nodes that get no messages of others. */
+    final Set<VmId> isolated = new HashSet<>();
+
     final Map<FeedName, List<FeedRecord>> store = new HashMap<>();
     Duration answerDelay = MESSAGE_DELAY;
     Instant now = START;
     private final Duration grace;
+    private final Map<Long, PoolId> pools = new HashMap<>();
     private final Map<String, Object> contents = new HashMap<>();
     private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>();
     private long sequence;
@@ -131,6 +139,24 @@
                         ? new DirectoryItem.Removed(new VmId(record.key()))
                         : (DirectoryItem) contents.get(text(record));
             }
+
+            @Override
+            public RolloutItem rollout(FeedRecord record) {
+                return (RolloutItem) contents.get(text(record));
+            }
+
+            @Override
+            public String rolloutKey(PoolId pool) {
+                return "rollout/" + pool;
+            }
+
+            @Override
+            public byte[] encode(RolloutStatus status) {
+                String name = "status/" + contents.size();
+                PoolId pool = pools.get(status.order());
+                contents.put(name, new RolloutItem.Reported(pool, status));
+                return name.getBytes(StandardCharsets.UTF_8);
+            }
         };
     }
 
@@ -156,10 +182,31 @@
     }
 
     void list(String id, PoolId pool, DomainId domain, boolean leaving, Duration coldFor) {
-        Listing listing = new Listing(new VmId(id), 1, pool, "10.0.0.1", 80, domain, leaving, coldFor);
+        Listing listing = new Listing(new VmId(id), 1, pool, "10.0.0.1", 80, domain, leaving, coldFor, "");
         write(FeedName.DIRECTORY, id, new DirectoryItem.Listed(listing));
     }
 
+    void list(String id, PoolId pool, String version) {
+        Listing listing = new Listing(new VmId(id), 1, pool, "10.0.0.1", 80, NORTH, false, Duration.ZERO, version);
+        write(FeedName.DIRECTORY, id, new DirectoryItem.Listed(listing));
+    }
+
+    /** Orders a rollout of a pool. */
+    void rollOut(PoolId pool, String version, Duration within) {
+        long id = store.get(FeedName.CONFIGURATION).size();
+        pools.put(id, pool);
+        RolloutOrder order = new RolloutOrder(id, pool, version, within);
+        write(FeedName.CONFIGURATION, "rollout/" + pool, new ConfigurationItem.RolloutOrdered(order));
+    }
+
+    /** The newest status of a rollout that the store holds. */
+    Optional<RolloutStatus> rolloutStatus() {
+        List<FeedRecord> records = store.get(FeedName.ROLLOUTS);
+        return records.isEmpty()
+                ? Optional.empty()
+                : Optional.of(((RolloutItem.Reported) contents.get(text(records.getLast()))).status());
+    }
+
     /** Lists two servers of each pool, one in each failure domain, publishes all routes and lets nodes learn of it. */
     void usual() {
         usual(Duration.ofSeconds(6));
@@ -260,11 +307,14 @@
     private void carryOut(VmId vm, ServingEffect effect) {
         switch (effect) {
             case ServingEffect.ReadFeed read -> read(vm, read);
-            case ServingEffect.SendToPeer send ->
-                later(
-                        MESSAGE_DELAY.plus(delay(send)),
-                        send.receiver(),
-                        new ServingEvent.PeerMessageReceived(new NodeId(vm, 1), send.message()));
+            case ServingEffect.SendToPeer send -> {
+                if (!isolated.contains(vm) && !isolated.contains(send.receiver())) {
+                    later(
+                            MESSAGE_DELAY.plus(delay(send)),
+                            send.receiver(),
+                            new ServingEvent.PeerMessageReceived(new NodeId(vm, 1), send.message()));
+                }
+            }
             case ServingEffect.WriteRecord write -> write(vm, write);
             case ServingEffect.CallBatch call -> callPieces(vm, call.call());
             case ServingEffect.ReleaseResults release -> {
@@ -283,9 +333,10 @@
     }
 
     private void write(VmId vm, ServingEffect.WriteRecord write) {
-        boolean done = !refusedByStore.contains(vm) && !cutFromStore.contains(vm);
+        List<FeedRecord> records = store.get(write.feed());
+        boolean asExpected = write.expectedEnd().orElse(records.size()) == records.size();
+        boolean done = asExpected && !refusedByStore.contains(vm) && !cutFromStore.contains(vm);
         if (done) {
-            List<FeedRecord> records = store.get(write.feed());
             records.add(new FeedRecord(write.key(), records.size(), write.value()));
         }
         later(MESSAGE_DELAY, vm, new ServingEvent.RecordWritten(write.feed(), write.key(), done));
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -130,6 +130,7 @@
                 .drainGrace(settings.shutdownGrace())
                 .features(settings.features())
                 .capacity(settings.capacity())
+                .rolloutLimits(settings.rolloutLimits())
                 .coldBound(new UpstreamLimits.ColdBound(
                         settings.coldBound().ratio(), settings.coldBound().fixed()));
         settings.seeds().forEach(setup::seed);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -73,7 +73,9 @@
             case ServingEffect.ReadFeed read ->
                 parts.translation().feeds().read(read.feed(), read.read(), parts.events());
             case ServingEffect.WriteRecord write ->
-                parts.translation().feeds().write(write.feed(), write.key(), write.value(), parts.events());
+                parts.translation()
+                        .feeds()
+                        .write(write.feed(), write.key(), write.value(), write.expectedEnd(), parts.events());
             case ServingEffect.LimitsChanged changed -> parts.handler().limits(changed.limits());
             case ServingEffect.ReadinessChanged changed -> readiness(changed);
             case ServingEffect.LogDecision log -> {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/FeedSource.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/FeedSource.java
@@ -1,6 +1,7 @@
 package org.wagtaillug.daemon.translation;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedReader;
@@ -15,6 +16,8 @@
      * Makes one write without blocking; one event says what came of it.
      *
      * @param value empty to remove the key
+     * @param expectedEnd the write fails unless the feed ends here
      */
-    void write(FeedName feed, String key, Optional<byte[]> value, Consumer<ServingEvent> events);
+    void write(
+            FeedName feed, String key, Optional<byte[]> value, OptionalLong expectedEnd, Consumer<ServingEvent> events);
 }
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
@@ -82,7 +82,8 @@
                     PIECES_WANTED,
                     PIECES_ANSWERED,
                     PIECES_WITHDRAWN,
-                    RESULTS_RELEASED -> Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
+                    RESULTS_RELEASED,
+                    ROLLOUT_REPORT -> Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
             case KIND_NOT_SET -> Either.left("a message of " + sender + " is of no kind that this version knows");
         };
     }
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -29,8 +29,11 @@
 import org.wagtaillug.link.generated.PiecesWithdrawnMessage;
 import org.wagtaillug.link.generated.PoolWaitMessage;
 import org.wagtaillug.link.generated.ResultsReleasedMessage;
+import org.wagtaillug.link.generated.RolloutReportMessage;
+import org.wagtaillug.link.generated.RolloutSampleMessage;
 import org.wagtaillug.link.generated.StepResultMessage;
 import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.rollout.RolloutSample;
 
 /** What nodes that route by host and path say, to and from protobuf. */
 final class ServingCodec {
@@ -48,6 +51,7 @@
             case ServingMessage.PiecesAnswered answered -> envelope.setPiecesAnswered(encode(answered));
             case ServingMessage.PiecesWithdrawn withdrawn ->
                 envelope.setPiecesWithdrawn(PiecesWithdrawnMessage.newBuilder().setNumber(withdrawn.number()));
+            case ServingMessage.RolloutReport report -> envelope.setRolloutReport(encode(report));
             case ServingMessage.ResultsReleased released ->
                 envelope.setResultsReleased(
                         ResultsReleasedMessage.newBuilder().addAllResults(encode(released.results())));
@@ -75,6 +79,7 @@
             case RESULTS_RELEASED ->
                 new ServingMessage.ResultsReleased(
                         decode(envelope.getResultsReleased().getResultsList()));
+            case ROLLOUT_REPORT -> decode(envelope.getRolloutReport());
             default -> throw new IllegalArgumentException("kind is " + envelope.getKindCase());
         };
     }
@@ -87,7 +92,8 @@
                 .setStoreLost(heartbeat.storeLost())
                 .setConfigurationPosition(heartbeat.positions().getOrDefault(FeedName.CONFIGURATION, 0L))
                 .setDirectoryPosition(heartbeat.positions().getOrDefault(FeedName.DIRECTORY, 0L))
-                .setMembershipPosition(heartbeat.positions().getOrDefault(FeedName.MEMBERSHIP, 0L));
+                .setMembershipPosition(heartbeat.positions().getOrDefault(FeedName.MEMBERSHIP, 0L))
+                .setRolloutsPosition(heartbeat.positions().getOrDefault(FeedName.ROLLOUTS, 0L));
         heartbeat
                 .waits()
                 .forEach(wait -> message.addWaits(PoolWaitMessage.newBuilder()
@@ -101,7 +107,8 @@
         Map<FeedName, Long> positions = Map.of(
                 FeedName.CONFIGURATION, message.getConfigurationPosition(),
                 FeedName.DIRECTORY, message.getDirectoryPosition(),
-                FeedName.MEMBERSHIP, message.getMembershipPosition());
+                FeedName.MEMBERSHIP, message.getMembershipPosition(),
+                FeedName.ROLLOUTS, message.getRolloutsPosition());
         List<QueueDelayEstimate> waits = new ArrayList<>();
         for (PoolWaitMessage wait : message.getWaitsList()) {
             waits.add(new QueueDelayEstimate(
@@ -116,11 +123,36 @@
                 waits);
     }
 
+    private static RolloutReportMessage encode(ServingMessage.RolloutReport report) {
+        RolloutReportMessage.Builder message = RolloutReportMessage.newBuilder().setOrder(report.order());
+        for (RolloutSample sample : report.samples()) {
+            message.addSamples(RolloutSampleMessage.newBuilder()
+                    .setKind(sample.kind())
+                    .setCandidate(sample.candidate())
+                    .setFailed(sample.failed())
+                    .setTookMillis(sample.took().toMillis()));
+        }
+        return message.build();
+    }
+
+    private static ServingMessage.RolloutReport decode(RolloutReportMessage message) {
+        List<RolloutSample> samples = new ArrayList<>();
+        for (RolloutSampleMessage sample : message.getSamplesList()) {
+            samples.add(new RolloutSample(
+                    sample.getKind(),
+                    sample.getCandidate(),
+                    sample.getFailed(),
+                    Duration.ofMillis(sample.getTookMillis())));
+        }
+        return new ServingMessage.RolloutReport(message.getOrder(), samples);
+    }
+
     private static FeedNameMessage encode(FeedName name) {
         return switch (name) {
             case CONFIGURATION -> FeedNameMessage.FEED_NAME_CONFIGURATION;
             case DIRECTORY -> FeedNameMessage.FEED_NAME_DIRECTORY;
             case MEMBERSHIP -> FeedNameMessage.FEED_NAME_MEMBERSHIP;
+            case ROLLOUTS -> FeedNameMessage.FEED_NAME_ROLLOUTS;
         };
     }
 
@@ -129,9 +161,10 @@
             case FEED_NAME_CONFIGURATION -> FeedName.CONFIGURATION;
             case FEED_NAME_DIRECTORY -> FeedName.DIRECTORY;
             case FEED_NAME_MEMBERSHIP -> FeedName.MEMBERSHIP;
+            case FEED_NAME_ROLLOUTS -> FeedName.ROLLOUTS;
             case FEED_NAME_UNSPECIFIED, UNRECOGNIZED ->
                 throw new IllegalArgumentException(
-                        "feed is " + name + "; expected CONFIGURATION, DIRECTORY or MEMBERSHIP");
+                        "feed is " + name + "; expected CONFIGURATION, DIRECTORY, MEMBERSHIP or ROLLOUTS");
         };
     }
 
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -31,7 +31,15 @@
                         false,
                         true,
                         true,
-                        Map.of(FeedName.CONFIGURATION, 7L, FeedName.DIRECTORY, 900L, FeedName.MEMBERSHIP, 3L),
+                        Map.of(
+                                FeedName.CONFIGURATION,
+                                7L,
+                                FeedName.DIRECTORY,
+                                900L,
+                                FeedName.MEMBERSHIP,
+                                3L,
+                                FeedName.ROLLOUTS,
+                                4L),
                         List.of(new QueueDelayEstimate(new PoolId("encode"), 2, Duration.ofMillis(350)))),
                 new ServingMessage.FeedUpdate(
                         FeedName.MEMBERSHIP,
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettings.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettings.java
@@ -10,6 +10,7 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.policy.PolicyFeatures;
+import org.wagtaillug.rollout.RolloutLimits;
 
 /**
  * The settings of a node that routes by host and path. docs/SETTINGS.md lists the fields.
@@ -23,6 +24,7 @@
  * @param features the ways of deciding that it uses
  * @param capacity its processor, in cores of the slowest kind
  * @param coldBound the bound on requests that a cold upstream gets from all nodes together
+ * @param rolloutLimits the bound on requests that a version on trial gets from all nodes together
  */
 public record RoutedSettings(
         Identity node,
@@ -33,7 +35,8 @@
         Duration shutdownGrace,
         PolicyFeatures features,
         double capacity,
-        ColdBound coldBound) {
+        ColdBound coldBound,
+        RolloutLimits rolloutLimits) {
     /** Copies the list. */
     public RoutedSettings {
         seeds = List.copyOf(seeds);
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettingsReader.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettingsReader.java
@@ -13,6 +13,7 @@
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
+import org.wagtaillug.rollout.RolloutLimits;
 import org.wagtaillug.settings.RoutedSettings.Address;
 
 /**
@@ -30,12 +31,14 @@
                             "processor",
                             "repeats",
                             "cold_upstreams",
+                            "rollouts",
                             "shutdown_grace",
                             "without"),
             "node", List.of("vm", "name", "domain"),
             "listen", List.of("callers", "readiness", "administration", "link"),
             "processor", List.of("share", "speed"),
             "cold_upstreams", List.of("ratio", "fixed"),
+            "rollouts", List.of("ratio", "fixed"),
             "repeats", List.of("window", "ratio", "fixed"));
 
     private static final double DEFAULT_CAPACITY = 1;
@@ -86,6 +89,9 @@
         RoutedSettings.ColdBound coldBound = at("cold_upstreams").isMissingNode()
                 ? RoutedSettings.ColdBound.DEFAULT
                 : new RoutedSettings.ColdBound(number("cold_upstreams.ratio"), number("cold_upstreams.fixed"));
+        RolloutLimits rolloutLimits = at("rollouts").isMissingNode()
+                ? RolloutLimits.DEFAULT
+                : new RolloutLimits(number("rollouts.ratio"), number("rollouts.fixed"));
         if (!problems.isEmpty()) {
             return Optional.empty();
         }
@@ -98,7 +104,8 @@
                 grace,
                 features,
                 capacity,
-                coldBound));
+                coldBound,
+                rolloutLimits));
     }
 
     /** All features but those that the field names, which may be missing. */
--- a/wagtaillug-settings/src/test/java/org/wagtaillug/settings/RoutedSettingsTest.java
+++ b/wagtaillug-settings/src/test/java/org/wagtaillug/settings/RoutedSettingsTest.java
@@ -63,6 +63,7 @@
         assertThat(problems(GOOD + "processor: { share: 0, speed: fast }\n"))
                 .contains("processor.share", "processor.speed");
         assertThat(problems(GOOD + "cold_upstreams: { ratio: 1 }\n")).contains("cold_upstreams.fixed");
+        assertThat(problems(GOOD + "rollouts: { ratio: 1 }\n")).contains("rollouts.fixed");
     }
 
     @Test
