Ticks as short as what waits for them: batches 20 ms, requests 50 ms, rest 200 ms

Every node ticked 50 times a second while any of its requests waited, and renewed the set of watched peers each time; a fleet that starts ranked all members for each one that joined. Housekeeping runs at most every 100 ms and the members that join together are ranked once.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerContact.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerContact.java
@@ -42,6 +42,7 @@
     private List<PoolId> scheduledPools = List.of();
     private Set<VmId> connected = Set.of();
     private boolean rosterRead;
+    private boolean rosterChanged;
     private boolean rollsOut;
 
     PeerContact(
@@ -83,6 +84,7 @@
     }
 
     private void depend() {
+        rosterChanged = false;
         Map<String, Duty> duties = new HashMap<>();
         for (PoolId pool : scheduledPools) {
             duties.put(scheduling(pool), Duty.of(roster.ranking(scheduling(pool))));
@@ -119,7 +121,7 @@
                     .field("member", id)
                     .field("capacity", entry.capacity())
                     .field("members", roster.size()));
-            depend();
+            rosterChanged = true;
         }
     }
 
@@ -127,7 +129,7 @@
         registration.onRemoved(id, now);
         if (roster.remove(id)) {
             log(Decision.builder("member_removed").field("member", id).field("members", roster.size()));
-            depend();
+            rosterChanged = true;
         }
     }
 
@@ -142,6 +144,10 @@
     /** Renews the registration, the set of watched peers and the heartbeats to them. */
     void onTick(boolean rosterKnown, Set<VmId> partners, Heartbeats heartbeats, Instant now) {
         rosterRead |= rosterKnown;
+        if (rosterChanged) {
+            // Once for all members that join together: a fleet that starts would rank all of them for each one.
+            depend();
+        }
         if (rosterKnown) {
             boolean expires =
                     peers.holder(EXPIRY_DUTY, takesWork.getAsBoolean(), now).equals(self.vm());
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -32,11 +32,17 @@
  * }</pre>
  */
 public final class Serving {
-    /** While requests, orders or the node's own start wait for something that only time brings. */
-    private static final Duration BUSY_TICK = Duration.ofMillis(20);
+    /** While batches are scheduled here: releases, full servers and late items wait for a tick. */
+    private static final Duration SCHEDULING_TICK = Duration.ofMillis(20);
+
+    /** While requests or the node's own start wait for something that only time brings. */
+    private static final Duration REQUEST_TICK = Duration.ofMillis(50);
 
     /** Heartbeats, reads of feeds and deadlines of streams under way bear a delay of this length. */
-    private static final Duration IDLE_TICK = Duration.ofMillis(100);
+    private static final Duration IDLE_TICK = Duration.ofMillis(200);
+
+    /** Heartbeats, the watched peers and the feeds are looked after no more often, however short the ticks are. */
+    private static final Duration HOUSEKEEPING_INTERVAL = Duration.ofMillis(100);
 
     private final ServingSetup setup;
     private final List<ServingEffect> effects = new ArrayList<>();
@@ -52,6 +58,7 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private Optional<Boolean> saidReady = Optional.empty();
     private Instant present = Instant.EPOCH;
+    private Instant housekeepingDue = Instant.EPOCH;
 
     /** A node that knows nothing yet. */
     public Serving(ServingSetup setup) {
@@ -105,13 +112,10 @@
     }
 
     private void onTick(Instant now) {
-        for (VmId dropped : directory.onTick(now)) {
-            log(Decision.builder("upstream_lapsed").field("upstream", dropped));
+        if (!now.isBefore(housekeepingDue)) {
+            housekeepingDue = now.plus(HOUSEKEEPING_INTERVAL);
+            keepHouse(now);
         }
-        contact.onTick(feeds.whole(FeedName.MEMBERSHIP), orders.partners(), reply -> heartbeat(reply, now), now);
-        feeds.reader(contact.readsStore(now));
-        onRolloutTick(now);
-        feeds.catchUp(now);
         flows.onTick(now);
         if (shutdown.started()) {
             endOverdue(now);
@@ -126,6 +130,16 @@
         }
     }
 
+    private void keepHouse(Instant now) {
+        for (VmId dropped : directory.onTick(now)) {
+            log(Decision.builder("upstream_lapsed").field("upstream", dropped));
+        }
+        contact.onTick(feeds.whole(FeedName.MEMBERSHIP), orders.partners(), reply -> heartbeat(reply, now), now);
+        feeds.reader(contact.readsStore(now));
+        onRolloutTick(now);
+        feeds.catchUp(now);
+    }
+
     private void onRolloutTick(Instant now) {
         boolean underWay = rollouts.underWay();
         contact.rollsOut(underWay);
@@ -329,9 +343,11 @@
 
     /** How long this node can wait for its next tick, as it is now. */
     public Duration tickInterval() {
+        if (shutdown.started() || !orders.scheduler().idle()) {
+            return SCHEDULING_TICK;
+        }
         boolean starting = !saidReady.orElse(false);
-        boolean busy = starting || shutdown.started() || flows.undecided() || !orders.idle();
-        return busy ? BUSY_TICK : IDLE_TICK;
+        return starting || flows.undecided() || !orders.idle() ? REQUEST_TICK : IDLE_TICK;
     }
 
     /** How many requests are under way. */
