A rollout whose order is taken back leaves its version unused

Taking back the order of a reverted rollout let requests go to the bad version again for as long as its servers were listed, as no rule was left for the pool. RolloutLoadTest.sendsNothingToARevertedVersionWhoseOrderIsTakenBack failed before. Samples of ended rollouts are dropped with the next order.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/rollout/Rollouts.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/rollout/Rollouts.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,15 +14,20 @@
 public final class Rollouts {
     private final Map<PoolId, RolloutOrder> orders = new HashMap<>();
     private final Map<PoolId, RolloutStatus> statuses = new HashMap<>();
+    private final Set<PoolId> withdrawn = new HashSet<>();
 
     /** An operator orders a rollout. */
     public void onOrder(RolloutOrder order) {
         orders.put(order.pool(), order);
+        withdrawn.remove(order.pool());
     }
 
-    /** An operator takes an order back. */
+    /**
+     * An operator takes an order back: nothing more moves. A version that was not proved still gets nothing, as its
+     * upstreams may be listed for some seconds.
+     */
     public void onWithdrawn(PoolId pool) {
-        orders.remove(pool);
+        withdrawn.add(pool);
     }
 
     /** The status of a rollout was read. */
@@ -34,11 +40,6 @@
         statuses.remove(pool);
     }
 
-    /** Whether an operator has ordered any rollout. */
-    public boolean any() {
-        return !orders.isEmpty();
-    }
-
     /** The order for a pool, if there is one. */
     public Optional<RolloutOrder> order(PoolId pool) {
         return Optional.ofNullable(orders.get(pool));
@@ -49,11 +50,13 @@
         return Optional.ofNullable(statuses.get(order.pool())).filter(status -> status.order() == order.id());
     }
 
-    /** The orders that are neither completed nor reverted. */
+    /** The orders that are neither completed, reverted nor taken back. */
     public List<RolloutOrder> open() {
         List<RolloutOrder> open = new ArrayList<>();
         for (RolloutOrder order : orders.values()) {
-            if (status(order).filter(status -> status.state().isFinal()).isEmpty()) {
+            boolean ended =
+                    status(order).filter(status -> status.state().isFinal()).isPresent();
+            if (!ended && !withdrawn.contains(order.pool())) {
                 open.add(order);
             }
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
@@ -98,6 +98,8 @@
     void onOrder(RolloutOrder order, Instant now) {
         rollouts.onOrder(order);
         coordinator.onOrder(order, now);
+        samples.keySet()
+                .retainAll(rollouts.open().stream().map(RolloutOrder::id).toList());
         log(Decision.builder("rollout_ordered")
                 .field("pool", order.pool())
                 .field("version", order.version())
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RolloutLoadTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RolloutLoadTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.wagtaillug.directory.Listing;
+import org.wagtaillug.feed.ConfigurationItem;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
@@ -211,6 +212,22 @@
         assertThat(arrivedAt(NEW, settled)).isZero();
     }
 
+    /** Guards against a bad version that is used again as soon as the operator clears the order that it failed. */
+    @Test
+    void sendsNothingToARevertedVersionWhoseOrderIsTakenBack() {
+        prepare();
+        play(WITHIN, (now, inFlight, any) -> any.nextBoolean());
+        assertThat(state()).isEqualTo(State.REVERTED);
+        world.write(
+                FeedName.CONFIGURATION,
+                "rollout/" + ServingWorld.ORDERS,
+                new ConfigurationItem.RolloutWithdrawn(ServingWorld.ORDERS));
+        Instant withdrawn = world.now;
+        play(Duration.ofSeconds(2), (now, inFlight, any) -> any.nextBoolean());
+        assertThat(arrivedAt(NEW, withdrawn)).isZero();
+        assertThat(arrivedAt(OLD, withdrawn)).isPositive();
+    }
+
     /** Guards against a rollout that stays where it is when the node that coordinates it dies. */
     @Test
     void anotherNodeGoesOnWhenTheCoordinatorDies() {
