A request refused at shutdown does not end before its refusal is written

When the body of a request ended after the shutdown had claimed it and before its refusal was written, the reading thread completed the request with nothing written, which is an empty success for its caller, and the refusal failed on a request that was over. RefusedBody ends it when the refusal is written and the caller has stopped sending, or 150 ms later. RefusedBodyTest fails with the order of before (3 of 4 tests).

--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
@@ -5,8 +5,6 @@
 import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
@@ -26,9 +24,6 @@
 
 /** Takes callers' requests of any host and path. */
 final class RoutedHandler extends Handler.Abstract.NonBlocking {
-    /** How long a refused caller may go on sending its body before its connection is closed. */
-    private static final long LINGER_MILLIS = 150;
-
     private final CallerTranslation translation;
     private final RoutedExchanges exchanges;
     private final CallerConnections connections;
@@ -51,28 +46,12 @@
     private static final class Reading {
         private final Request request;
         private final Response response;
-        private final Callback callback;
-        private final AtomicBoolean completed = new AtomicBoolean();
+        private final RefusedBody refused;
 
         private Reading(Request request, Response response, Callback callback) {
             this.request = request;
             this.response = response;
-            this.callback = callback;
-        }
-
-        /** Lets the connection close, once. */
-        private void complete() {
-            if (completed.compareAndSet(false, true)) {
-                callback.succeeded();
-            }
-        }
-
-        /**
-         * Lets the connection close when the caller has stopped sending, or a little later. Closing it with unread bytes
-         * would reset it, and the caller would lose what it has not read of the refusal.
-         */
-        private void completeAfterBody() {
-            request.getComponents().getScheduler().schedule(this::complete, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+            this.refused = new RefusedBody(callback, request.getComponents().getScheduler());
         }
     }
 
@@ -99,14 +78,14 @@
                 if (readings.remove(reading)) {
                     arrived(request, response, callback, body);
                 } else {
-                    reading.complete();
+                    reading.refused.onBodyOver();
                 }
             }
 
             @Override
             public void failed(Throwable fault) {
                 if (!readings.remove(reading)) {
-                    reading.complete();
+                    reading.refused.onBodyOver();
                     return;
                 }
                 boolean large = fault instanceof IllegalStateException;
@@ -125,7 +104,7 @@
             if (readings.remove(reading)) {
                 String message = "node is shutting down, retry on another node";
                 Refusal refusal = Refusal.notRun(ResultCode.SHUTTING_DOWN, Duration.ZERO, message);
-                Callback lingering = Callback.from(reading::completeAfterBody, reading.callback::failed);
+                Callback lingering = Callback.from(reading.refused::onWritten, reading.refused::onFailed);
                 refuse(refusal, reading.request, reading.response, lingering);
             }
         }
