--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -268,7 +268,7 @@
             return;
         }
         List<StageServer> usable = usableMakers(pool);
-        usable.sort(Comparator.comparing((StageServer maker) -> !gate.first(maker.listing()))
+        usable.sort(Comparator.comparing((StageServer maker) -> !gate.preferred(maker.listing()))
                 .thenComparingDouble(StageServer::slowness));
         Set<DomainId> domains = new HashSet<>();
         usable.forEach(maker -> domains.add(maker.listing().domain()));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
@@ -13,7 +13,7 @@
         }
 
         @Override
-        public boolean first(Listing server) {
+        public boolean preferred(Listing server) {
             return false;
         }
 
@@ -27,8 +27,8 @@
     /** Whether a server may be called now. */
     boolean allows(Listing server);
 
-    /** Whether a server that may be called goes before those that are not on trial. */
-    boolean first(Listing server);
+    /** Whether a server that may be called goes before the others. */
+    boolean preferred(Listing server);
 
     /** A server is called. */
     void onCall(Listing server);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/rollout/RolloutPlan.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/rollout/RolloutPlan.java
@@ -3,23 +3,23 @@
 import java.time.Duration;
 
 /**
- * The share that a new version gets in the course of a rollout: a small one that proves it, then quickly everything, then
+ * The share that a new version gets in the course of a rollout: a canary share, then quickly everything, then
  * time for what the old version still works on. Answers a steady load as well as bursts: a share is one of requests.
  */
 final class RolloutPlan {
     /** Of the time that the operator gives. */
-    private static final double PROVED_AT = 0.42;
+    private static final double SHORTEST_CANARY = 0.42;
 
-    private static final double PROVED_AT_LATEST = 0.6;
-    private static final double QUARTER_UNTIL = 0.06;
-    private static final double HALF_UNTIL = 0.12;
+    private static final double LONGEST_CANARY = 0.6;
+    private static final double QUARTER_DURATION = 0.06;
+    private static final double HALF_DURATION = 0.06;
     private static final double COMPLETE_AT = 0.88;
 
-    /** Answers that prove a version; fewer do when the time runs out. */
+    /** Answers of the canary share that are waited for while there is time. */
     private static final int MIN_ANSWERS = 20;
 
-    /** The proving share leaves room below the limit for requests that are tried again. */
-    private static final double PROVING_PART_OF_LIMIT = 0.7;
+    /** The canary share leaves room below the limit for requests that are tried again. */
+    private static final double CANARY_PART_OF_LIMIT = 0.7;
 
     private static final double QUARTER = 0.25;
     private static final double HALF = 0.5;
@@ -67,19 +67,20 @@
             VersionComparison comparison,
             RolloutLimits limits,
             Duration elapsed) {
-        double proving = limits.ratio() * PROVING_PART_OF_LIMIT;
-        if (status.share() < proving) {
-            return proving;
+        double canary = limits.ratio() * CANARY_PART_OF_LIMIT;
+        if (status.share() < canary) {
+            return canary;
         }
         Duration sinceChange = elapsed.minus(status.elapsed());
         if (status.share() >= HALF) {
-            return sinceChange.compareTo(part(order, HALF_UNTIL - QUARTER_UNTIL)) >= 0 ? 1 : status.share();
+            return sinceChange.compareTo(part(order, HALF_DURATION)) >= 0 ? 1 : status.share();
         }
         if (status.share() >= QUARTER) {
-            return sinceChange.compareTo(part(order, QUARTER_UNTIL)) >= 0 ? HALF : status.share();
+            return sinceChange.compareTo(part(order, QUARTER_DURATION)) >= 0 ? HALF : status.share();
         }
-        boolean seenEnough = comparison.candidates() >= MIN_ANSWERS && elapsed.compareTo(part(order, PROVED_AT)) >= 0;
-        boolean outOfTime = elapsed.compareTo(part(order, PROVED_AT_LATEST)) >= 0;
+        boolean seenEnough =
+                comparison.candidates() >= MIN_ANSWERS && elapsed.compareTo(part(order, SHORTEST_CANARY)) >= 0;
+        boolean outOfTime = elapsed.compareTo(part(order, LONGEST_CANARY)) >= 0;
         return seenEnough || outOfTime ? QUARTER : status.share();
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/rollout/Rollouts.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/rollout/Rollouts.java
@@ -23,7 +23,7 @@
     }
 
     /**
-     * An operator takes an order back: nothing more moves. A version that was not proved still gets nothing, as its
+     * An operator takes an order back: nothing more moves. The candidate version still gets nothing, as its
      * upstreams may be listed for some seconds.
      */
     public void onWithdrawn(PoolId pool) {
@@ -73,9 +73,9 @@
     /**
      * The versions that a request may go to.
      *
-     * @param drawn whether the request is one of the share that the new version gets
+     * @param canary whether the request is one of the share that the new version gets
      */
-    public VersionRule rule(PoolId pool, boolean drawn) {
+    public VersionRule rule(PoolId pool, boolean canary) {
         RolloutOrder order = orders.get(pool);
         if (order == null) {
             return VersionRule.ANY;
@@ -85,7 +85,7 @@
             return new VersionRule.Except(status.get().replaced());
         }
         boolean inProgress = status.isPresent() && status.get().state() == RolloutStatus.State.IN_PROGRESS;
-        return drawn && inProgress
+        return canary && inProgress
                 ? new VersionRule.Only(order.version())
                 : new VersionRule.Except(Set.of(order.version()));
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -302,7 +302,7 @@
                 steps.domainOf(flow.inputResults()),
                 flow.inputBytes());
         Optional<Upstream> chosen = chooser.choose(pool.get(), versions(flow), tried, prompt, now)
-                .or(() -> chooser.choose(pool.get(), rollouts.proved(flow.pool()), tried, prompt, now));
+                .or(() -> chooser.choose(pool.get(), rollouts.stableVersions(flow.pool()), tried, prompt, now));
         if (chosen.isEmpty()) {
             waitForUpstream(flow, now);
             return;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutCallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutCallGate.java
@@ -73,7 +73,7 @@
     }
 
     @Override
-    public boolean first(Listing server) {
+    public boolean preferred(Listing server) {
         return underWay(server.pool())
                 .filter(order -> order.version().equals(server.version()))
                 .isPresent();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
@@ -142,20 +142,19 @@
     /**
      * The versions that a request may go to.
      *
-     * @param first whether it was sent nowhere yet; what goes elsewhere after that is not sent to a version on trial
+     * @param first whether it was sent nowhere yet; what goes elsewhere after that is not sent to a candidate version
      */
     VersionRule rule(PoolId pool, RequestId request, boolean first) {
         double share = rollouts.share(pool).orElse(0.0);
         boolean everything = share >= 1;
-        boolean drawn = first && fresh && draw(request) < share;
-        VersionRule rule = rollouts.rule(pool, everything || drawn);
-        // A share that no upstream can take now, and a request that has to go on elsewhere, fall back to what is
-        // proved.
-        return directory.usable(pool, rule).isEmpty() ? proved(pool) : rule;
+        boolean canary = first && fresh && draw(request) < share;
+        VersionRule rule = rollouts.rule(pool, everything || canary);
+        // Candidates that take nothing now must not hold a request up.
+        return directory.usable(pool, rule).isEmpty() ? stableVersions(pool) : rule;
     }
 
-    /** The versions that are not on trial. */
-    VersionRule proved(PoolId pool) {
+    /** The versions that need no proof. */
+    VersionRule stableVersions(PoolId pool) {
         return rollouts.rule(pool, false);
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -114,7 +114,7 @@
     private void onTick(Instant now) {
         if (!now.isBefore(housekeepingDue)) {
             housekeepingDue = now.plus(HOUSEKEEPING_INTERVAL);
-            keepHouse(now);
+            runHousekeeping(now);
         }
         flows.onTick(now);
         if (shutdown.started()) {
@@ -130,7 +130,7 @@
         }
     }
 
-    private void keepHouse(Instant now) {
+    private void runHousekeeping(Instant now) {
         for (VmId dropped : directory.onTick(now)) {
             log(Decision.builder("upstream_lapsed").field("upstream", dropped));
         }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RolloutLoadTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RolloutLoadTest.java
@@ -256,7 +256,7 @@
         throw new AssertionError("no node writes the status");
     }
 
-    /** Guards against requests for a version on trial from a node that would not hear of its end. */
+    /** Guards against requests for a candidate version from a node that would not hear of its end. */
     @Test
     void aNodeThatHearsNothingSendsNothingToAVersionOnTrial() {
         prepare();
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettings.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettings.java
@@ -24,7 +24,7 @@
  * @param features the ways of deciding that it uses
  * @param capacity its processor, in cores of the slowest kind
  * @param coldBound the bound on requests that a cold upstream gets from all nodes together
- * @param rolloutLimits the bound on requests that a version on trial gets from all nodes together
+ * @param rolloutLimits the bound on requests that a candidate version gets from all nodes together
  */
 public record RoutedSettings(
         Identity node,
