Log the rate limit that an upstream announces in an answer

Callers saw nothing of it yet: upstreams in need got more requests than they had announced to take. The logs could not tell a node that ignores the announcement from one that keeps the limit for itself alone, because no line said what an upstream had announced. UpstreamTranslation and StageTranslation decode the header into UpstreamNotice; answer_began and end log it. No decision uses it.

--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/notice/package-info.java
@@ -0,0 +1,2 @@
+/** What upstreams announce about themselves in their answers. */
+package org.wagtaillug.notice;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -7,6 +7,7 @@
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.node.Decision;
+import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.serving.ServingEffect.Outcome;
 
@@ -80,12 +81,18 @@
                 .field("since_arrival_ms", millis(flow.arrivedAt(), now)));
     }
 
-    void answerStarted(Flow flow, Upstream upstream, Instant now) {
-        write(line("answer_began", flow)
+    void answerStarted(Flow flow, Upstream upstream, UpstreamNotice notice, Instant now) {
+        Decision.Builder line = line("answer_began", flow)
                 .field("attempt", flow.attempts())
                 .field("upstream", upstream.id())
                 .field("since_arrival_ms", millis(flow.arrivedAt(), now))
-                .field("since_sent_ms", millis(flow.sentAt(), now)));
+                .field("since_sent_ms", millis(flow.sentAt(), now));
+        write(withNotice(line, notice));
+    }
+
+    private static Decision.Builder withNotice(Decision.Builder line, UpstreamNotice notice) {
+        notice.rateLimit().ifPresent(limit -> line.field("rate_limit", limit));
+        return line;
     }
 
     /** Logs the release of inputs while their request is in progress. */
@@ -97,12 +104,13 @@
     }
 
     /** Logs the end of an attempt. */
-    void end(Flow flow, Upstream upstream, SendEnd end, Duration took) {
-        write(line("end", flow)
+    void end(Flow flow, Upstream upstream, ServingEvent.SendEnded ended, Duration took) {
+        Decision.Builder line = line("end", flow)
                 .field("attempt", flow.attempts())
                 .field("upstream", upstream.id())
-                .field("end", end)
-                .field("took_ms", took.toMillis()));
+                .field("end", ended.end())
+                .field("took_ms", took.toMillis());
+        write(withNotice(line, ended.notice().orElse(UpstreamNotice.NONE)));
     }
 
     void finish(Flow flow, Outcome outcome, String how, Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -377,9 +377,9 @@
         return flow.route().repeatable() && attemptsLeft && untried;
     }
 
-    void onAnswerStarted(RequestId id, int attempt, Instant now) {
-        Flow flow = flows.get(id);
-        if (flow == null || flow.attempt() != attempt || flow.target().isEmpty()) {
+    void onAnswerStarted(ServingEvent.AnswerStarted started, Instant now) {
+        Flow flow = flows.get(started.request());
+        if (flow == null || flow.attempt() != started.attempt() || flow.target().isEmpty()) {
             return;
         }
         if (!flow.answerStarted()) {
@@ -388,7 +388,7 @@
             addSample(flow, false, now);
         }
         finishReading(flow);
-        log.answerStarted(flow, flow.target().get(), now);
+        log.answerStarted(flow, flow.target().get(), started.notice(), now);
         health.onProgress(flow.target().get().id(), now);
         engineTimes.onFirstEvent(flow.pool(), flow.request().promptTokens(), Duration.between(flow.sentAt(), now), now);
         inputs.onAnswerStarted(flow, now);
@@ -403,18 +403,19 @@
         }
     }
 
-    void onSendEnded(RequestId id, int attempt, SendEnd end, Instant now) {
-        Flow flow = flows.get(id);
-        if (flow == null || flow.attempt() != attempt || flow.target().isEmpty()) {
+    void onSendEnded(ServingEvent.SendEnded ended, Instant now) {
+        Flow flow = flows.get(ended.request());
+        if (flow == null || flow.attempt() != ended.attempt() || flow.target().isEmpty()) {
             return;
         }
+        SendEnd end = ended.end();
         Upstream upstream = flow.target().get();
         finishReading(flow);
         if (end instanceof SendEnd.Failed || end instanceof SendEnd.Broken) {
             addSample(flow, true, now);
         }
         flow.clearTarget();
-        recordEnd(flow, upstream, end, now);
+        recordEnd(flow, upstream, ended, now);
         switch (end) {
             case SendEnd.Passed ignored -> onPassed(flow, now);
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
@@ -437,10 +438,10 @@
                         upstream.listing(), flow.route().id().value(), failed, Duration.between(flow.sentAt(), now)));
     }
 
-    private void recordEnd(Flow flow, Upstream upstream, SendEnd end, Instant now) {
+    private void recordEnd(Flow flow, Upstream upstream, ServingEvent.SendEnded ended, Instant now) {
         Duration took = Duration.between(flow.sentAt(), now);
         Optional<PoolId> pool = Optional.of(flow.pool());
-        switch (end) {
+        switch (ended.end()) {
             case SendEnd.Passed ignored -> health.onEnded(upstream.id(), pool, took, true, now);
             case SendEnd.Failed ignored -> health.onEnded(upstream.id(), pool, took, true, now);
             case SendEnd.GivenUp ignored -> health.onCancelled(upstream.id());
@@ -448,7 +449,7 @@
             case SendEnd.Unsent ignored -> recordFault(upstream, took, now);
             case SendEnd.Broken ignored -> recordFault(upstream, took, now);
         }
-        log.end(flow, upstream, end, took);
+        log.end(flow, upstream, ended, took);
     }
 
     /** After a fault the upstream may have restarted and counts as cold until its directory entry says otherwise. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -88,8 +88,8 @@
             case ServingEvent.RequestArrived arrived -> onRequest(arrived.request(), now);
             case ServingEvent.CallerDisconnected disconnected ->
                 flows.onCallerDisconnected(disconnected.request(), now);
-            case ServingEvent.AnswerStarted started -> flows.onAnswerStarted(started.request(), started.attempt(), now);
-            case ServingEvent.SendEnded ended -> flows.onSendEnded(ended.request(), ended.attempt(), ended.end(), now);
+            case ServingEvent.AnswerStarted started -> flows.onAnswerStarted(started, now);
+            case ServingEvent.SendEnded ended -> flows.onSendEnded(ended, now);
             case ServingEvent.BatchCallEnded ended -> orders.scheduler().onCallEnded(ended.call(), ended.end(), now);
             case ServingEvent.ReleaseEnded ended -> orders.scheduler().onReleaseEnded(ended.release(), ended.done());
             case ServingEvent.PeerMessageReceived received -> onPeerMessage(received.sender(), received.message(), now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import org.wagtaillug.batch.BatchCallEnd;
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
@@ -10,6 +11,7 @@
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.notice.UpstreamNotice;
 
 /** An input of {@link Serving}. */
 public sealed interface ServingEvent {
@@ -35,8 +37,14 @@
      *
      * @param request the request
      * @param attempt its attempt
+     * @param notice what the upstream announces in the answer
      */
-    record AnswerStarted(RequestId request, int attempt) implements ServingEvent {}
+    record AnswerStarted(RequestId request, int attempt, UpstreamNotice notice) implements ServingEvent {
+        /** Creates an event for an answer in which the upstream announces nothing. */
+        AnswerStarted(RequestId request, int attempt) {
+            this(request, attempt, UpstreamNotice.NONE);
+        }
+    }
 
     /**
      * An attempt has ended; sent once for each {@link ServingEffect.Send}.
@@ -44,16 +52,30 @@
      * @param request the request
      * @param attempt its attempt
      * @param end how the attempt ended
+     * @param notice what the upstream announces in its answer; empty if it sent none, or if an
+     *     {@link AnswerStarted} has reported it
      */
-    record SendEnded(RequestId request, int attempt, SendEnd end) implements ServingEvent {}
+    record SendEnded(RequestId request, int attempt, SendEnd end, Optional<UpstreamNotice> notice)
+            implements ServingEvent {
+        /** Creates an event for an attempt without a notice. */
+        SendEnded(RequestId request, int attempt, SendEnd end) {
+            this(request, attempt, end, Optional.empty());
+        }
+    }
 
     /**
      * A call to a stage server has ended; sent once for each {@link ServingEffect.CallBatch}.
      *
      * @param call number of the call
      * @param end how the call ended
-     */
-    record BatchCallEnded(long call, BatchCallEnd end) implements ServingEvent {}
+     * @param notice what the server announces in its answer; empty if it sent none
+     */
+    record BatchCallEnded(long call, BatchCallEnd end, Optional<UpstreamNotice> notice) implements ServingEvent {
+        /** Creates an event for a call without a notice. */
+        BatchCallEnded(long call, BatchCallEnd end) {
+            this(call, end, Optional.empty());
+        }
+    }
 
     /**
      * A release has ended; sent once for each {@link ServingEffect.ReleaseResults}.
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
@@ -14,6 +15,7 @@
 import org.wagtaillug.batch.BatchCallEnd;
 import org.wagtaillug.daemon.translation.StageTranslation;
 import org.wagtaillug.directory.Listing;
+import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.serving.ServingEffect;
 import org.wagtaillug.serving.ServingEvent;
 
@@ -47,7 +49,8 @@
                 .send(new BufferingResponseListener(MAX_ANSWER_BYTES) {
                     @Override
                     public void onComplete(Result result) {
-                        events.accept(new ServingEvent.BatchCallEnded(call.number(), end(call, result, getContent())));
+                        events.accept(new ServingEvent.BatchCallEnded(
+                                call.number(), end(call, result, getContent()), notice(result)));
                     }
                 });
     }
@@ -61,6 +64,13 @@
                 call, result.getResponse().getStatus(), result.getResponse().getHeaders(), body);
     }
 
+    private Optional<UpstreamNotice> notice(Result result) {
+        return result.isFailed()
+                ? Optional.empty()
+                : translation.notice(
+                        result.getResponse().getStatus(), result.getResponse().getHeaders());
+    }
+
     /** Tells a server that results are no longer needed; one event reports whether the server has confirmed it. */
     void release(ServingEffect.ReleaseResults release) {
         request(release.server(), translation.releasePath(), translation.encodeRelease(release.handles()))
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -5,12 +5,14 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.wagtaillug.daemon.translation.UpstreamTranslation;
+import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.serving.SendEnd;
 import org.wagtaillug.serving.SendOrder;
 
@@ -31,12 +33,13 @@
     private final SendOrder order;
     private final RoutedExchange exchange;
     private final UpstreamTranslation translation;
-    private final Runnable onStarted;
-    private final Consumer<SendEnd> onEnd;
+    private final Consumer<UpstreamNotice> onStarted;
+    private final BiConsumer<SendEnd, Optional<UpstreamNotice>> onEnd;
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter();
     private volatile boolean sent;
     private Meaning meaning = Meaning.NOTHING;
+    private Optional<UpstreamNotice> notice = Optional.empty();
     private Optional<String> abortReason = Optional.empty();
 
     private enum Meaning {
@@ -51,8 +54,8 @@
             SendOrder order,
             RoutedExchange exchange,
             UpstreamTranslation translation,
-            Runnable onStarted,
-            Consumer<SendEnd> onEnd) {
+            Consumer<UpstreamNotice> onStarted,
+            BiConsumer<SendEnd, Optional<UpstreamNotice>> onEnd) {
         this.order = order;
         this.exchange = exchange;
         this.translation = translation;
@@ -69,6 +72,7 @@
         int status = response.getStatus();
         if (translation.notRun(status, head)) {
             meaning = Meaning.NOT_RUN;
+            notice = translation.notice(status, head);
             return;
         }
         Optional<String> answered = translation.answeredRequest(head);
@@ -79,6 +83,7 @@
         boolean successful = status >= FIRST_SUCCESS && status < FIRST_FAILURE;
         if (!successful) {
             meaning = Meaning.FAILURE;
+            notice = translation.notice(status, head);
             return;
         }
         if (!translation.authentic(head) || head.contains(HttpHeader.CONTENT_ENCODING)) {
@@ -87,11 +92,12 @@
         }
         if (!order.stream()) {
             meaning = Meaning.WHOLE;
+            notice = translation.notice(status, head);
             return;
         }
         meaning = Meaning.STREAM;
         exchange.startAnswer(status, head);
-        onStarted.run();
+        onStarted.accept(translation.notice(status, head).orElse(UpstreamNotice.NONE));
     }
 
     private void abort(Response response, String reason) {
@@ -120,7 +126,7 @@
     }
 
     void onComplete(Result result) {
-        onEnd.accept(end(result));
+        onEnd.accept(end(result), notice);
     }
 
     private SendEnd end(Result result) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.wagtaillug.daemon.translation.UpstreamTranslation;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.serving.SendEnd;
 import org.wagtaillug.serving.SendOrder;
 import org.wagtaillug.serving.ServingEvent;
@@ -92,20 +93,20 @@
     private void send(SendOrder order, ActiveSend active) {
         Optional<RoutedExchange> exchange = exchanges.find(order.request());
         if (exchange.isEmpty()) {
-            onEnded(order, active, new SendEnd.GivenUp());
+            onEnded(order, active, new SendEnd.GivenUp(), Optional.empty());
             return;
         }
         Request request = request(order, exchange.get());
         if (!active.attach(request)) {
-            onEnded(order, active, new SendEnd.GivenUp());
+            onEnded(order, active, new SendEnd.GivenUp(), Optional.empty());
             return;
         }
         UpstreamAnswer answer = new UpstreamAnswer(
                 order,
                 exchange.get(),
                 translation,
-                () -> events.accept(new ServingEvent.AnswerStarted(order.request(), order.attempt())),
-                end -> onEnded(order, active, end));
+                notice -> events.accept(new ServingEvent.AnswerStarted(order.request(), order.attempt(), notice)),
+                (end, notice) -> onEnded(order, active, end, notice));
         request.onRequestBegin(ignored -> answer.onSent())
                 .onResponseHeaders(answer::onHeaders)
                 .onResponseContent(answer::onContent)
@@ -136,9 +137,9 @@
         return request;
     }
 
-    private void onEnded(SendOrder order, ActiveSend active, SendEnd end) {
+    private void onEnded(SendOrder order, ActiveSend active, SendEnd end, Optional<UpstreamNotice> notice) {
         activeSends.remove(order.request(), active);
-        events.accept(new ServingEvent.SendEnded(order.request(), order.attempt(), end));
+        events.accept(new ServingEvent.SendEnded(order.request(), order.attempt(), end, notice));
     }
 
     /** Cancels an attempt and closes its connection. */
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/StageTranslation.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/StageTranslation.java
@@ -1,10 +1,12 @@
 package org.wagtaillug.daemon.translation;
 
 import java.util.List;
+import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
 import org.wagtaillug.batch.BatchCall;
 import org.wagtaillug.batch.BatchCallEnd;
 import org.wagtaillug.directory.Listing;
+import org.wagtaillug.notice.UpstreamNotice;
 
 /** Encodes calls to stage servers and decodes their answers. Never throws. */
 public interface StageTranslation {
@@ -17,6 +19,9 @@
     /** Decodes the answer to a call. */
     BatchCallEnd decodeAnswer(BatchCall call, int status, HttpFields head, byte[] body);
 
+    /** What the server announces in an answer; empty if that is unreadable, or if another server at its address answers. */
+    Optional<UpstreamNotice> notice(int status, HttpFields head);
+
     /** Path of the requests that carry releases. */
     String releasePath();
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/UpstreamTranslation.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/UpstreamTranslation.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
+import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.serving.SendOrder;
 
 /** Encodes requests to upstreams and decodes the headers of their answers. Never throws. */
@@ -25,4 +26,7 @@
 
     /** Whether a successful answer carries the signature of the upstream. */
     boolean authentic(HttpFields head);
+
+    /** What the upstream announces in an answer; empty if that is unreadable, or if another upstream at its address answers. */
+    Optional<UpstreamNotice> notice(int status, HttpFields head);
 }
