Keep the rate limits that upstreams announce, over all nodes together

Callers saw nothing themselves: an upstream in need that had announced one request a second got up to 14 in 4 s and served them, at the cost of its recovery. Cause: no code read the announcement; a directory entry was the only word of an upstream about itself that nodes acted upon. Class: a limit on the sum over independent nodes, none of which sees more than its own part; a limit kept by each node for itself would be exceeded by the number of nodes.

Why it holds: few nodes, selected by the roster as for cold upstreams, have a token bucket each, and the buckets together stay below one and a half times the limit and 5 requests in 4 s. AnnouncedRateLimits keeps the newest announcement, from own answers and from heartbeats, and ends a limit only with an answer that must have been given later. All paths that send go through UpstreamLimits or the gate of the batch scheduler. A request for which no upstream gets room in time is rejected at once.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -19,6 +19,7 @@
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.node.Decision;
+import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
 import org.wagtaillug.route.BatchContract;
@@ -172,7 +173,8 @@
         double seconds = contract.callOf((int) Math.ceil(items)).toNanos() / NANOS_PER_SECOND;
         double poolRate = 0;
         for (StageServer server : usable) {
-            poolRate += contract.slots() * items / (seconds * Math.max(1, server.slowness()));
+            double callRate = contract.slots() / (seconds * Math.max(1, server.slowness()));
+            poolRate += items * Math.min(callRate, gate.rate(server.listing(), now));
         }
         double higherPriorityRate = observed ? throughput(pool).rateBelow(rank, now) : 0;
         double availableRate = Math.max(poolRate - higherPriorityRate, poolRate * MIN_SHARE);
@@ -276,6 +278,7 @@
         usable.forEach(server -> domains.add(server.listing().domain()));
         for (StageServer server : usable) {
             while (gate.allows(server.listing())
+                    && gate.ready(server.listing(), now)
                     && server.hasFreeSlot(contract.slots(), now)
                     && shouldUse(server, usable, queue, contract)) {
                 if (!startCall(server, domains, queue, contract, now)) {
@@ -320,6 +323,7 @@
         server.results().reserve(bytes);
         server.onCallStarted();
         gate.onCall(server.listing());
+        gate.onRequest(server.listing(), now);
         throughput(server.listing().pool()).onCall(queuedItems.size(), contract.batch(), !queue.isEmpty());
         lastCallNumber++;
         Duration timeout = contract.callOf(queuedItems.size()).multipliedBy(CALL_TIMEOUT_FACTOR);
@@ -349,12 +353,24 @@
         return Duration.between(earliest, now);
     }
 
-    /** Processes the outcome of a call. */
+    /** Processes the outcome of a call that was ended without an answer or by a server that announces nothing. */
     public void onCallEnded(long number, BatchCallEnd end, Instant now) {
+        onCallEnded(number, end, Optional.empty(), now);
+    }
+
+    /**
+     * Processes the outcome of a call.
+     *
+     * @param notice what the server announces in its answer; empty if it sent none
+     */
+    public void onCallEnded(long number, BatchCallEnd end, Optional<UpstreamNotice> notice, Instant now) {
         ActiveCall activeCall = calls.remove(number);
         if (activeCall == null) {
             return;
         }
+        boolean successful = end instanceof BatchCallEnd.Answered;
+        notice.ifPresent(announced ->
+                gate.onAnswer(activeCall.server().listing(), announced, successful, activeCall.startedAt(), now));
         for (BatchQueue.QueuedItem item : activeCall.items()) {
             activeCall.server().results().unreserve(item.order().resultBytes());
         }
@@ -527,7 +543,8 @@
         }
         nextReleaseAt = now.plus(RELEASE_FLUSH_INTERVAL);
         for (StageServer server : servers.values()) {
-            if (!server.pendingReleases().isEmpty()) {
+            if (!server.pendingReleases().isEmpty() && gate.ready(server.listing(), now)) {
+                gate.onRequest(server.listing(), now);
                 lastReleaseNumber++;
                 List<String> handles = List.copyOf(server.pendingReleases());
                 server.pendingReleases().clear();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
@@ -1,7 +1,9 @@
 package org.wagtaillug.batch;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.wagtaillug.directory.Listing;
+import org.wagtaillug.notice.UpstreamNotice;
 
 /** Decides which stage servers may be called, and observes the calls. */
 public interface CallGate {
@@ -30,9 +32,31 @@
     /** Whether an allowed server takes precedence over the others. */
     boolean preferred(Listing server);
 
+    /** Whether a request to a server may be sent now. An allowed server for which it may not is called later. */
+    default boolean ready(Listing server, Instant now) {
+        return true;
+    }
+
+    /** The highest rate of requests to a server, per second. */
+    default double rate(Listing server, Instant now) {
+        return Double.POSITIVE_INFINITY;
+    }
+
     /** Called when a call to a server starts. */
     void onCall(Listing server);
 
+    /** Called when a request to a server is sent: a call or a release. */
+    default void onRequest(Listing server, Instant now) {}
+
+    /**
+     * Called when a server has answered a call.
+     *
+     * @param notice what the server announces in the answer
+     * @param successful whether the server ran the call
+     * @param startedAt when the call was sent
+     */
+    default void onAnswer(Listing server, UpstreamNotice notice, boolean successful, Instant startedAt, Instant now) {}
+
     /**
      * Called when a call ends that the server did not refuse.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -12,6 +12,7 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.rollout.RolloutSample;
 
 /** The messages between nodes that route by host and path. Any message may be lost. */
@@ -25,6 +26,7 @@
      * @param storeLost whether the sender's latest read of a feed has failed
      * @param positions the sender's position in each feed
      * @param waits expected queueing delays at the pools whose calls the sender schedules; short ones are omitted
+     * @param rateLimits the rate limits of upstreams that the sender knows; the newest ones if there are many
      */
     record Heartbeat(
             boolean reply,
@@ -32,11 +34,13 @@
             boolean follows,
             boolean storeLost,
             Map<FeedName, Long> positions,
-            List<QueueDelayEstimate> waits)
+            List<QueueDelayEstimate> waits,
+            List<RateLimitReport> rateLimits)
             implements ServingMessage {
-        /** Makes a defensive copy of the list. */
+        /** Makes a defensive copy of the lists. */
         public Heartbeat {
             waits = List.copyOf(waits);
+            rateLimits = List.copyOf(rateLimits);
         }
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Roster.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Roster.java
@@ -101,13 +101,13 @@
     }
 
     /**
-     * Whether this node is one of the few that may send requests to an upstream while it is cold.
+     * Whether this node is one of the few that may send requests to an upstream that is cold or limits its rate.
      *
-     * <p>Guards against overloading a cold upstream by many nodes that each send it only a few requests.
+     * <p>Guards against overloading such an upstream by many nodes that each send it only a few requests.
      *
      * @param senders the number of nodes that may
      */
-    public boolean allowsColdSend(VmId upstream, int senders, Instant now) {
+    public boolean selectsSelf(VmId upstream, int senders, Instant now) {
         if (joinedAt.isEmpty() || now.isBefore(joinedAt.get())) {
             return false;
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -14,6 +14,7 @@
 import org.wagtaillug.directory.VersionRule;
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.membership.Rendezvous;
 import org.wagtaillug.policy.PolicyFeature;
@@ -125,6 +126,12 @@
         return eligible;
     }
 
+    /** Whether the rate limits that upstreams announce leave room for a request to an untried one by a time. */
+    public boolean rateAllowsBy(PoolId pool, Set<VmId> tried, Instant time, Instant now) {
+        return directory.usable(pool).stream()
+                .anyMatch(upstream -> !tried.contains(upstream.id()) && limits.rateAllowsBy(upstream, time, now));
+    }
+
     private Duration expectedCompletion(Upstream upstream) {
         Duration perRequest = features.uses(PolicyFeature.LATENCY_CHOICE)
                 ? health.expected(upstream.id()).orElse(DEFAULT_DURATION)
@@ -147,6 +154,7 @@
 
     /** Records that a request was sent to an upstream, which has to read its prompt. */
     public void onSent(VmId upstream, Prompt prompt, Instant now) {
+        limits.onSent(upstream, now);
         queuedPromptTokens.merge(upstream, (long) prompt.tokens(), Long::sum);
         placement.onSent(prompt.segments(), prompt.tokens(), upstream, now);
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
@@ -1,8 +1,12 @@
 package org.wagtaillug.routing;
 
 import java.time.Instant;
+import org.wagtaillug.admission.FleetRateLimiter;
+import org.wagtaillug.admission.LimitShare;
 import org.wagtaillug.admission.WarmupRateLimiter;
 import org.wagtaillug.directory.Upstream;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.notice.AnnouncedRateLimits;
 import org.wagtaillug.peer.Roster;
 import org.wagtaillug.route.PoolProfile;
 
@@ -10,7 +14,7 @@
  * Enforces this node's share of the limits that apply to one upstream across all nodes.
  *
  * <p>Prevents an upstream from being overloaded by many nodes that each send it little: its connections are divided by the
- * number of nodes, and while it is cold only a few nodes may send to it.
+ * number of nodes, and while it is cold or announces a rate limit only a few nodes may send to it.
  */
 public final class UpstreamLimits {
     /** Fraction of the bound that is used, because joining nodes count before all other nodes know of them. */
@@ -19,6 +23,7 @@
     private final Roster roster;
     private final WarmupRateLimiter warmupLimiter;
     private final ColdBound coldBound;
+    private final FleetRateLimiter rateLimiter;
 
     /**
      * The limit on requests per second from all nodes to a cold upstream.
@@ -29,10 +34,32 @@
     public record ColdBound(double ratio, double fixed) {}
 
     /** Creates limits that are divided among the members of a roster. */
-    public UpstreamLimits(Roster roster, WarmupRateLimiter warmupLimiter, ColdBound coldBound) {
+    public UpstreamLimits(
+            Roster roster, WarmupRateLimiter warmupLimiter, ColdBound coldBound, FleetRateLimiter rateLimiter) {
         this.roster = roster;
         this.warmupLimiter = warmupLimiter;
         this.coldBound = coldBound;
+        this.rateLimiter = rateLimiter;
+    }
+
+    /** Creates the same for upstreams that announce no rate limits. */
+    public UpstreamLimits(Roster roster, WarmupRateLimiter warmupLimiter, ColdBound coldBound) {
+        this(
+                roster,
+                warmupLimiter,
+                coldBound,
+                new FleetRateLimiter(new AnnouncedRateLimits(), new LimitShare.AmongNodes(roster)));
+    }
+
+    /** Records a request that is sent to an upstream. */
+    public void onSent(VmId upstream, Instant now) {
+        warmupLimiter.onSent(upstream, now);
+        rateLimiter.onSent(upstream, now);
+    }
+
+    /** Whether the rate limit that an upstream announces allows a request at a time, if none is sent before. */
+    boolean rateAllowsBy(Upstream upstream, Instant time, Instant now) {
+        return rateLimiter.allowsBy(upstream.id(), time, now);
     }
 
     /** Whether one more request may go to an upstream where this node has so many in flight. */
@@ -40,10 +67,13 @@
         if (inFlight >= Math.max(1, pool.connections() / roster.sharingNodes())) {
             return false;
         }
+        if (!rateLimiter.allows(upstream.id(), now)) {
+            return false;
+        }
         if (pool.coldPerSecond() <= 0 || !upstream.cold(now)) {
             return true;
         }
-        return warmupLimiter.allows(upstream.id(), now) && roster.allowsColdSend(upstream.id(), coldSenders(pool), now);
+        return warmupLimiter.allows(upstream.id(), now) && roster.selectsSelf(upstream.id(), coldSenders(pool), now);
     }
 
     /** Each node sends at most one request in any second, so the limit on requests is a limit on sending nodes. */
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
@@ -0,0 +1,66 @@
+package org.wagtaillug.serving;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.wagtaillug.admission.FleetRateLimiter;
+import org.wagtaillug.admission.LimitShare;
+import org.wagtaillug.batch.CallGate;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.notice.UpstreamNotice;
+
+/**
+ * Keeps the requests to stage servers within the rate limits that they announce. One node calls the servers of a pool,
+ * so it may use a limit alone.
+ */
+final class NoticeCallGate implements CallGate {
+    private final CallGate rollouts;
+    private final NoticeExchange notices;
+    private final FleetRateLimiter limiter;
+
+    /** Creates a gate for the servers that another gate allows. */
+    NoticeCallGate(CallGate rollouts, NoticeExchange notices) {
+        this.rollouts = rollouts;
+        this.notices = notices;
+        this.limiter = new FleetRateLimiter(notices.rateLimits(), new LimitShare.OneNode());
+    }
+
+    @Override
+    public boolean allows(Listing server) {
+        return rollouts.allows(server);
+    }
+
+    @Override
+    public boolean preferred(Listing server) {
+        return rollouts.preferred(server);
+    }
+
+    @Override
+    public boolean ready(Listing server, Instant now) {
+        return limiter.allows(server.id(), now);
+    }
+
+    @Override
+    public double rate(Listing server, Instant now) {
+        return limiter.rate(server.id(), now);
+    }
+
+    @Override
+    public void onCall(Listing server) {
+        rollouts.onCall(server);
+    }
+
+    @Override
+    public void onRequest(Listing server, Instant now) {
+        limiter.onSent(server.id(), now);
+    }
+
+    @Override
+    public void onAnswer(Listing server, UpstreamNotice notice, boolean successful, Instant startedAt, Instant now) {
+        notices.onAnswer(server.id(), notice, successful, startedAt, now);
+    }
+
+    @Override
+    public void onCallEnded(Listing server, boolean failed, Duration took, Duration expected) {
+        rollouts.onCallEnded(server, failed, took, expected);
+    }
+}
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -0,0 +1,71 @@
+package org.wagtaillug.serving;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.function.Consumer;
+import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.node.Decision;
+import org.wagtaillug.notice.AnnouncedRateLimits;
+import org.wagtaillug.notice.RateLimitReport;
+import org.wagtaillug.notice.UpstreamNotice;
+
+/** Collects what upstreams announce in their answers and exchanges it with other nodes. */
+final class NoticeExchange {
+    private final UpstreamDirectory directory;
+    private final Consumer<ServingEffect> effects;
+    private final AnnouncedRateLimits rateLimits = new AnnouncedRateLimits();
+
+    NoticeExchange(UpstreamDirectory directory, Consumer<ServingEffect> effects) {
+        this.directory = directory;
+        this.effects = effects;
+    }
+
+    AnnouncedRateLimits rateLimits() {
+        return rateLimits;
+    }
+
+    /**
+     * Processes what an upstream announces in an answer to this node.
+     *
+     * @param successful whether the answer is a success
+     * @param sentAt when the request was sent
+     */
+    void onAnswer(VmId upstream, UpstreamNotice notice, boolean successful, Instant sentAt, Instant now) {
+        if (rateLimits.onAnswer(upstream, notice.rateLimit(), successful, sentAt, now)) {
+            log(rateLimit(upstream, notice.rateLimit()).field("source", "answer"));
+        }
+    }
+
+    /** Processes what another node knows. */
+    void onReports(NodeId sender, List<RateLimitReport> reports, Instant now) {
+        for (RateLimitReport report : reports) {
+            if (rateLimits.onReport(report, now)) {
+                log(rateLimit(report.upstream(), report.requestsPerSecond())
+                        .field("source", sender)
+                        .field("age_ms", report.age().toMillis()));
+            }
+        }
+    }
+
+    /** Handles the restart of an upstream. */
+    void onRestarted(VmId upstream, Instant now) {
+        rateLimits.onRestarted(upstream, now);
+    }
+
+    void onTick(Instant now) {
+        rateLimits.onTick(id -> directory.find(id).isPresent(), now);
+    }
+
+    private static Decision.Builder rateLimit(VmId upstream, OptionalDouble limit) {
+        return Decision.builder("rate_limit")
+                .field("upstream", upstream)
+                .field("requests_per_second", limit.isPresent() ? limit.getAsDouble() : "none");
+    }
+
+    private void log(Decision.Builder decision) {
+        effects.accept(new ServingEffect.LogDecision(decision.build()));
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -30,6 +30,7 @@
 
     private static final String FEED_DUTY = "feeds";
     private static final String ROLLOUT_DUTY = "rollouts";
+    private static final String EXCHANGE_DUTY = "exchange";
 
     private final NodeId self;
     private final Member member;
@@ -88,6 +89,10 @@
         for (PoolId pool : scheduledPools) {
             duties.put(scheduling(pool), Duty.of(roster.ranking(scheduling(pool))));
         }
+        if (scheduledPools.isEmpty()) {
+            // Nodes exchange what they know of upstreams through a node that all of them watch.
+            duties.put(EXCHANGE_DUTY, Duty.of(roster.ranking(EXCHANGE_DUTY)));
+        }
         duties.put(FEED_DUTY, new Duty(roster.ranking(FEED_DUTY, member.domain()), FEED_READERS, true));
         if (rolloutInProgress) {
             duties.put(ROLLOUT_DUTY, new Duty(roster.ranking(ROLLOUT_DUTY), 1, true));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.wagtaillug.admission.FleetRateLimiter;
+import org.wagtaillug.admission.LimitShare;
 import org.wagtaillug.admission.WarmupRateLimiter;
 import org.wagtaillug.batch.BatchOrder;
 import org.wagtaillug.batch.BatchOutcome;
@@ -67,11 +69,11 @@
     private final UpstreamDirectory directory;
     private final UpstreamHealth health;
     private final Roster roster;
-    private final WarmupRateLimiter warmupLimiter;
     private final UpstreamChooser chooser;
     private final FlowSteps steps;
     private final ServingSetup.RetryLimits retryLimits;
     private final RolloutExchange rollouts;
+    private final NoticeExchange notices;
     private final Shutdown shutdown;
     private final RemainingTimeEstimate remainingTime = new RemainingTimeEstimate();
     private final EngineTimes engineTimes = new EngineTimes();
@@ -93,17 +95,22 @@
             Roster roster,
             StepOrders orders,
             RolloutExchange rollouts,
+            NoticeExchange notices,
             Shutdown shutdown,
             Consumer<ServingEffect> effects) {
         this.directory = directory;
         this.health = health;
         this.roster = roster;
-        this.warmupLimiter = new WarmupRateLimiter();
+        this.notices = notices;
         this.features = setup.features();
         this.chooser = new UpstreamChooser(
                 directory,
                 health,
-                new UpstreamLimits(roster, warmupLimiter, setup.coldBound()),
+                new UpstreamLimits(
+                        roster,
+                        new WarmupRateLimiter(),
+                        setup.coldBound(),
+                        new FleetRateLimiter(notices.rateLimits(), new LimitShare.AmongNodes(roster))),
                 setup.domain(),
                 features);
         StepTimes times = new StepTimes(engineTimes, features);
@@ -338,7 +345,8 @@
     private void waitForUpstream(Flow flow, Instant now) {
         Duration maxWait = flow.route().latencyTarget().dividedBy(ADMISSION_WAIT_DIVISOR);
         Instant until = admissionDeadlines.computeIfAbsent(flow.request().id(), id -> now.plus(maxWait));
-        if (!now.isBefore(until)) {
+        boolean hopeless = !chooser.rateAllowsBy(flow.pool(), flow.triedUpstreams(), until, now);
+        if (hopeless || !now.isBefore(until)) {
             fail(
                     flow,
                     ResultCode.UPSTREAM_FULL,
@@ -351,7 +359,6 @@
         lastAttempt++;
         flow.startAttempt(upstream, lastAttempt, now);
         health.onStarted(upstream.id(), now);
-        warmupLimiter.onSent(upstream.id(), now);
         long keptTokens = chooser.cachedTokens(upstream, prompt, now);
         chooser.onSent(upstream.id(), prompt, now);
         boolean stream = flow.route().kind() == RouteKind.STREAM;
@@ -389,6 +396,7 @@
         }
         finishReading(flow);
         log.answerStarted(flow, flow.target().get(), started.notice(), now);
+        notices.onAnswer(flow.target().get().id(), started.notice(), true, flow.sentAt(), now);
         health.onProgress(flow.target().get().id(), now);
         engineTimes.onFirstEvent(flow.pool(), flow.request().promptTokens(), Duration.between(flow.sentAt(), now), now);
         inputs.onAnswerStarted(flow, now);
@@ -416,6 +424,8 @@
         }
         flow.clearTarget();
         recordEnd(flow, upstream, ended, now);
+        boolean successful = end instanceof SendEnd.Passed;
+        ended.notice().ifPresent(notice -> notices.onAnswer(upstream.id(), notice, successful, flow.sentAt(), now));
         switch (end) {
             case SendEnd.Passed ignored -> onPassed(flow, now);
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.wagtaillug.batch.CallGate;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.feed.ConfigurationItem;
@@ -58,6 +59,7 @@
     private final PeerMembership membership;
     private final FeedExchange feeds;
     private final RolloutExchange rollouts;
+    private final NoticeExchange notices;
     private final StepOrders orders;
     private final RequestFlows flows;
     private final Shutdown shutdown;
@@ -75,8 +77,10 @@
         membership = new PeerMembership(setup, roster, peers, effects::add, () -> !shutdown.started());
         feeds = new FeedExchange(peers, effects::add, this::onFeedRecord);
         rollouts = new RolloutExchange(setup, directory, effects::add);
-        orders = new StepOrders(setup, peers, directory, rollouts.callGate(), effects::add, () -> !shutdown.started());
-        flows = new RequestFlows(setup, directory, health, roster, orders, rollouts, shutdown, effects::add);
+        notices = new NoticeExchange(directory, effects::add);
+        CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
+        orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
+        flows = new RequestFlows(setup, directory, health, roster, orders, rollouts, notices, shutdown, effects::add);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, currentTime));
     }
 
@@ -90,7 +94,8 @@
                 flows.onCallerDisconnected(disconnected.request(), now);
             case ServingEvent.AnswerStarted started -> flows.onAnswerStarted(started, now);
             case ServingEvent.SendEnded ended -> flows.onSendEnded(ended, now);
-            case ServingEvent.BatchCallEnded ended -> orders.scheduler().onCallEnded(ended.call(), ended.end(), now);
+            case ServingEvent.BatchCallEnded ended ->
+                orders.scheduler().onCallEnded(ended.call(), ended.end(), ended.notice(), now);
             case ServingEvent.ReleaseEnded ended -> orders.scheduler().onReleaseEnded(ended.release(), ended.done());
             case ServingEvent.PeerMessageReceived received -> onPeerMessage(received.sender(), received.message(), now);
             case ServingEvent.PeerConnected connected -> {
@@ -141,6 +146,7 @@
         for (VmId expired : directory.onTick(now)) {
             log(Decision.builder("upstream_lapsed").field("upstream", expired));
         }
+        notices.onTick(now);
         membership.onTick(feeds.complete(FeedName.MEMBERSHIP), orders.partners(), reply -> heartbeat(reply, now), now);
         feeds.setReader(membership.readsStore(now));
         onRolloutTick(now);
@@ -200,12 +206,14 @@
                 feeds.follows(now),
                 feeds.storeLost(),
                 feeds.positions(),
-                orders.scheduler().waits(now));
+                orders.scheduler().waits(now),
+                notices.rateLimits().reports(now));
     }
 
     private void onPeerMessage(NodeId sender, ServingMessage message, Instant now) {
         switch (message) {
             case ServingMessage.Heartbeat heartbeat -> {
+                notices.onReports(sender, heartbeat.rateLimits(), now);
                 if (membership.onHeartbeat(sender, heartbeat, reply -> heartbeat(reply, now), now)) {
                     orders.onPeerRestarted(sender.vm(), now);
                 }
@@ -301,6 +309,7 @@
                 if (change == UpstreamDirectory.Change.RESTARTED) {
                     health.onRestarted(listing.id());
                     flows.onRestarted(listing.id());
+                    notices.onRestarted(listing.id(), now);
                 }
                 logUpstream(listing.id(), change, record);
                 return !known || !listing.remainingColdTime().isZero();
--- a/wagtaillug-core/src/test/java/org/wagtaillug/peer/RosterTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/peer/RosterTest.java
@@ -34,7 +34,7 @@
             VmId cold = new VmId("engine-" + upstream);
             int senders = 0;
             for (int number = 0; number < 200; number++) {
-                senders += roster(number, 0, 200).allowsColdSend(cold, SENDERS, START) ? 1 : 0;
+                senders += roster(number, 0, 200).selectsSelf(cold, SENDERS, START) ? 1 : 0;
             }
             assertThat(senders).isEqualTo(SENDERS);
         }
@@ -46,8 +46,8 @@
         Roster roster = roster(0, 1, 8);
         VmId cold = new VmId("engine-1");
         roster.add(new Member(node(0), NORTH, 1), false, START);
-        assertThat(roster.allowsColdSend(cold, SENDERS, START.plusSeconds(2))).isFalse();
-        assertThat(roster.allowsColdSend(cold, SENDERS, START.plusSeconds(3))).isTrue();
+        assertThat(roster.selectsSelf(cold, SENDERS, START.plusSeconds(2))).isFalse();
+        assertThat(roster.selectsSelf(cold, SENDERS, START.plusSeconds(3))).isTrue();
     }
 
     /** Guards against a node that sends requests without being counted. */
@@ -55,7 +55,7 @@
     void aNodeThatIsNotRegisteredSendsNothingToColdUpstreams() {
         Roster roster = roster(0, 0, 4);
         assertThat(roster.remove(node(0))).isTrue();
-        assertThat(roster.allowsColdSend(new VmId("engine-1"), SENDERS, START.plusSeconds(60)))
+        assertThat(roster.selectsSelf(new VmId("engine-1"), SENDERS, START.plusSeconds(60)))
                 .isFalse();
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleetTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleetTest.java
@@ -10,7 +10,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.wagtaillug.batch.BatchCall;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.notice.UpstreamNotice;
 
 /** Guards against a fleet that sends an upstream more than the rate limit that it announces in its answers. */
 class RateLimitFleetTest {
@@ -110,4 +112,36 @@
         fleet.run(Duration.ofSeconds(4), 60);
         assertThat(fleet.receivedSinceLastCall(LIMITED)).isGreaterThan(usual * 8 / 10);
     }
+
+    /** Guards against calls and releases that exceed the announced rate of a stage server. */
+    @Test
+    void aStageServerGetsItsAnnouncedRate() {
+        ServingWorld world = new ServingWorld(3);
+        world.startServing();
+        VmId limited = new VmId("encode-1");
+        world.notices.put(limited, new UpstreamNotice(limit(1)));
+        world.notices.put(new VmId("encode-2"), UpstreamNotice.NONE);
+        int before = 0;
+        for (int second = 0; second < 16; second++) {
+            for (int request = 0; request < 12; request++) {
+                world.request(1 + request % 3, "draft", 4);
+                world.run(Duration.ofMillis(83));
+            }
+            if (second == 3) {
+                before = requests(world, limited);
+            }
+        }
+        assertThat(requests(world, limited) - before).isBetween(6, 12);
+    }
+
+    private static int requests(ServingWorld world, VmId server) {
+        int requests = 0;
+        for (BatchCall call : world.batchCalls) {
+            requests += call.upstream().id().equals(server) ? 1 : 0;
+        }
+        for (ServingEffect.ReleaseResults release : world.effects(ServingEffect.ReleaseResults.class)) {
+            requests += release.server().id().equals(server) ? 1 : 0;
+        }
+        return requests;
+    }
 }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -32,6 +32,7 @@
 import org.wagtaillug.id.RouteId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.rollout.RolloutOrder;
 import org.wagtaillug.rollout.RolloutStatus;
 import org.wagtaillug.route.BatchContract;
@@ -77,6 +78,9 @@
     /** Nodes that receive no messages from other nodes. */
     final Set<VmId> isolatedNodes = new HashSet<>();
 
+    /** What stage servers announce in their answers. */
+    final Map<VmId, UpstreamNotice> notices = new HashMap<>();
+
     final Map<FeedName, List<FeedRecord>> store = new HashMap<>();
     Duration answerDelay = MESSAGE_DELAY;
     Instant now = START;
@@ -384,7 +388,10 @@
         schedule(
                 ITEMS.callOf(call.items().size()),
                 vm,
-                new ServingEvent.BatchCallEnded(call.number(), new BatchCallEnd.Answered(answers)));
+                new ServingEvent.BatchCallEnded(
+                        call.number(),
+                        new BatchCallEnd.Answered(answers),
+                        Optional.ofNullable(notices.get(call.upstream().id()))));
     }
 
     private void schedule(Duration delay, VmId vm, ServingEvent event) {
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.batch.QueueDelayEstimate;
 import org.wagtaillug.batch.StepResult;
@@ -28,11 +29,13 @@
 import org.wagtaillug.link.generated.PiecesWantedMessage;
 import org.wagtaillug.link.generated.PiecesWithdrawnMessage;
 import org.wagtaillug.link.generated.PoolWaitMessage;
+import org.wagtaillug.link.generated.RateLimitMessage;
 import org.wagtaillug.link.generated.ResultsReleasedMessage;
 import org.wagtaillug.link.generated.RolloutReportMessage;
 import org.wagtaillug.link.generated.RolloutSampleMessage;
 import org.wagtaillug.link.generated.StepResultMessage;
 import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.rollout.RolloutSample;
 
 /** Converts the messages of nodes that route by host and path to and from protobuf. */
@@ -102,9 +105,25 @@
                         .setPool(wait.pool().value())
                         .setRank(wait.rank())
                         .setWait(TimeCodec.encode(wait.expected()))));
+        heartbeat.rateLimits().forEach(report -> message.addRateLimits(encode(report)));
         return message.build();
     }
 
+    private static RateLimitMessage encode(RateLimitReport report) {
+        RateLimitMessage.Builder message = RateLimitMessage.newBuilder()
+                .setUpstream(report.upstream().value())
+                .setAgeMillis(report.age().toMillis());
+        report.requestsPerSecond().ifPresent(message::setRequestsPerSecond);
+        return message.build();
+    }
+
+    private static RateLimitReport decode(RateLimitMessage message) {
+        OptionalDouble limit = message.hasRequestsPerSecond()
+                ? OptionalDouble.of(message.getRequestsPerSecond())
+                : OptionalDouble.empty();
+        return new RateLimitReport(new VmId(message.getUpstream()), limit, Duration.ofMillis(message.getAgeMillis()));
+    }
+
     private static ServingMessage.Heartbeat decode(HeartbeatMessage message) {
         Map<FeedName, Long> positions = Map.of(
                 FeedName.CONFIGURATION, message.getConfigurationPosition(),
@@ -116,13 +135,16 @@
             waits.add(new QueueDelayEstimate(
                     new PoolId(wait.getPool()), wait.getRank(), TimeCodec.decode(wait.getWait())));
         }
+        List<RateLimitReport> rateLimits = new ArrayList<>();
+        message.getRateLimitsList().forEach(limit -> rateLimits.add(decode(limit)));
         return new ServingMessage.Heartbeat(
                 message.getReply(),
                 message.getServing(),
                 message.getFollows(),
                 message.getStoreLost(),
                 positions,
-                waits);
+                waits,
+                rateLimits);
     }
 
     private static RolloutReportMessage encode(ServingMessage.RolloutReport report) {
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.wagtaillug.batch.BatchOutcome;
@@ -20,6 +21,7 @@
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.notice.RateLimitReport;
 
 class ServingCodecTest {
     private static final StepResult RESULT = new StepResult("10.1.64.7:8080/91bd", new VmId("i-1"));
@@ -40,7 +42,10 @@
                                 3L,
                                 FeedName.ROLLOUTS,
                                 4L),
-                        List.of(new QueueDelayEstimate(new PoolId("encode"), 2, Duration.ofMillis(350)))),
+                        List.of(new QueueDelayEstimate(new PoolId("encode"), 2, Duration.ofMillis(350))),
+                        List.of(
+                                new RateLimitReport(new VmId("i-1"), OptionalDouble.of(0), Duration.ofMillis(40)),
+                                new RateLimitReport(new VmId("i-2"), OptionalDouble.empty(), Duration.ZERO))),
                 new ServingMessage.FeedUpdate(
                         FeedName.MEMBERSHIP,
                         4,
