--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.wagtaillug.admission.FleetRateLimiter;
+import org.wagtaillug.admission.LimitShare;
 import org.wagtaillug.admission.WarmupRateLimiter;
 import org.wagtaillug.batch.BatchOrder;
 import org.wagtaillug.batch.BatchOutcome;
@@ -67,11 +69,11 @@
     private final UpstreamDirectory directory;
     private final UpstreamHealth health;
     private final Roster roster;
-    private final WarmupRateLimiter warmupLimiter;
     private final UpstreamChooser chooser;
     private final FlowSteps steps;
     private final ServingSetup.RetryLimits retryLimits;
     private final RolloutExchange rollouts;
+    private final NoticeExchange notices;
     private final Shutdown shutdown;
     private final RemainingTimeEstimate remainingTime = new RemainingTimeEstimate();
     private final EngineTimes engineTimes = new EngineTimes();
@@ -93,17 +95,22 @@
             Roster roster,
             StepOrders orders,
             RolloutExchange rollouts,
+            NoticeExchange notices,
             Shutdown shutdown,
             Consumer<ServingEffect> effects) {
         this.directory = directory;
         this.health = health;
         this.roster = roster;
-        this.warmupLimiter = new WarmupRateLimiter();
+        this.notices = notices;
         this.features = setup.features();
         this.chooser = new UpstreamChooser(
                 directory,
                 health,
-                new UpstreamLimits(roster, warmupLimiter, setup.coldBound()),
+                new UpstreamLimits(
+                        roster,
+                        new WarmupRateLimiter(),
+                        setup.coldBound(),
+                        new FleetRateLimiter(notices.rateLimits(), new LimitShare.AmongNodes(roster))),
                 setup.domain(),
                 features);
         StepTimes times = new StepTimes(engineTimes, features);
@@ -338,7 +345,8 @@
     private void waitForUpstream(Flow flow, Instant now) {
         Duration maxWait = flow.route().latencyTarget().dividedBy(ADMISSION_WAIT_DIVISOR);
         Instant until = admissionDeadlines.computeIfAbsent(flow.request().id(), id -> now.plus(maxWait));
-        if (!now.isBefore(until)) {
+        boolean hopeless = !chooser.rateAllowsBy(flow.pool(), flow.triedUpstreams(), until, now);
+        if (hopeless || !now.isBefore(until)) {
             fail(
                     flow,
                     ResultCode.UPSTREAM_FULL,
@@ -351,7 +359,6 @@
         lastAttempt++;
         flow.startAttempt(upstream, lastAttempt, now);
         health.onStarted(upstream.id(), now);
-        warmupLimiter.onSent(upstream.id(), now);
         long keptTokens = chooser.cachedTokens(upstream, prompt, now);
         chooser.onSent(upstream.id(), prompt, now);
         boolean stream = flow.route().kind() == RouteKind.STREAM;
@@ -377,9 +384,9 @@
         return flow.route().repeatable() && attemptsLeft && untried;
     }
 
-    void onAnswerStarted(RequestId id, int attempt, Instant now) {
-        Flow flow = flows.get(id);
-        if (flow == null || flow.attempt() != attempt || flow.target().isEmpty()) {
+    void onAnswerStarted(ServingEvent.AnswerStarted started, Instant now) {
+        Flow flow = flows.get(started.request());
+        if (flow == null || flow.attempt() != started.attempt() || flow.target().isEmpty()) {
             return;
         }
         if (!flow.answerStarted()) {
@@ -388,7 +395,8 @@
             addSample(flow, false, now);
         }
         finishReading(flow);
-        log.answerStarted(flow, flow.target().get(), now);
+        log.answerStarted(flow, flow.target().get(), started.notice(), now);
+        notices.onAnswer(flow.target().get().id(), started.notice(), true, flow.sentAt(), now);
         health.onProgress(flow.target().get().id(), now);
         engineTimes.onFirstEvent(flow.pool(), flow.request().promptTokens(), Duration.between(flow.sentAt(), now), now);
         inputs.onAnswerStarted(flow, now);
@@ -403,18 +411,21 @@
         }
     }
 
-    void onSendEnded(RequestId id, int attempt, SendEnd end, Instant now) {
-        Flow flow = flows.get(id);
-        if (flow == null || flow.attempt() != attempt || flow.target().isEmpty()) {
+    void onSendEnded(ServingEvent.SendEnded ended, Instant now) {
+        Flow flow = flows.get(ended.request());
+        if (flow == null || flow.attempt() != ended.attempt() || flow.target().isEmpty()) {
             return;
         }
+        SendEnd end = ended.end();
         Upstream upstream = flow.target().get();
         finishReading(flow);
         if (end instanceof SendEnd.Failed || end instanceof SendEnd.Broken) {
             addSample(flow, true, now);
         }
         flow.clearTarget();
-        recordEnd(flow, upstream, end, now);
+        recordEnd(flow, upstream, ended, now);
+        boolean successful = end instanceof SendEnd.Passed;
+        ended.notice().ifPresent(notice -> notices.onAnswer(upstream.id(), notice, successful, flow.sentAt(), now));
         switch (end) {
             case SendEnd.Passed ignored -> onPassed(flow, now);
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
@@ -437,10 +448,10 @@
                         upstream.listing(), flow.route().id().value(), failed, Duration.between(flow.sentAt(), now)));
     }
 
-    private void recordEnd(Flow flow, Upstream upstream, SendEnd end, Instant now) {
+    private void recordEnd(Flow flow, Upstream upstream, ServingEvent.SendEnded ended, Instant now) {
         Duration took = Duration.between(flow.sentAt(), now);
         Optional<PoolId> pool = Optional.of(flow.pool());
-        switch (end) {
+        switch (ended.end()) {
             case SendEnd.Passed ignored -> health.onEnded(upstream.id(), pool, took, true, now);
             case SendEnd.Failed ignored -> health.onEnded(upstream.id(), pool, took, true, now);
             case SendEnd.GivenUp ignored -> health.onCancelled(upstream.id());
@@ -448,7 +459,7 @@
             case SendEnd.Unsent ignored -> recordFault(upstream, took, now);
             case SendEnd.Broken ignored -> recordFault(upstream, took, now);
         }
-        log.end(flow, upstream, end, took);
+        log.end(flow, upstream, ended, took);
     }
 
     /** After a fault the upstream may have restarted and counts as cold until its directory entry says otherwise. */
