Log that an upstream announces its leaving in an answer

Callers' requests reached an upstream after it had said that it leaves, and the logs did not show that it had. No decision uses it.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
@@ -6,8 +6,38 @@
  * What an upstream announces about itself in the headers of an answer.
  *
  * @param rateLimit the requests per second that it accepts from all nodes together; empty if it names no limit
+ * @param leaving whether it is about to shut down and should get no new work
  */
-public record UpstreamNotice(OptionalDouble rateLimit) {
+public record UpstreamNotice(OptionalDouble rateLimit, boolean leaving) {
     /** The notice of an upstream that announces nothing. */
-    public static final UpstreamNotice NONE = new UpstreamNotice(OptionalDouble.empty());
+    public static final UpstreamNotice NONE = builder().build();
+
+    /** Creates a builder of a notice that announces nothing. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Builds an {@link UpstreamNotice}. */
+    public static final class Builder {
+        private OptionalDouble rateLimit = OptionalDouble.empty();
+        private boolean leaving;
+
+        private Builder() {}
+
+        /** Sets the requests per second that the upstream accepts from all nodes together. */
+        public Builder rateLimit(double requestsPerSecond) {
+            rateLimit = OptionalDouble.of(requestsPerSecond);
+            return this;
+        }
+
+        /** Sets whether the upstream is about to shut down. */
+        public Builder leaving(boolean announced) {
+            leaving = announced;
+            return this;
+        }
+
+        public UpstreamNotice build() {
+            return new UpstreamNotice(rateLimit, leaving);
+        }
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -92,6 +92,9 @@
 
     private static Decision.Builder withNotice(Decision.Builder line, UpstreamNotice notice) {
         notice.rateLimit().ifPresent(limit -> line.field("rate_limit", limit));
+        if (notice.leaving()) {
+            line.field("leaving", true);
+        }
         return line;
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleetTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleetTest.java
@@ -119,7 +119,7 @@
         ServingWorld world = new ServingWorld(3);
         world.startServing();
         VmId limited = new VmId("encode-1");
-        world.notices.put(limited, new UpstreamNotice(limit(1)));
+        world.notices.put(limited, UpstreamNotice.builder().rateLimit(1).build());
         world.notices.put(new VmId("encode-2"), UpstreamNotice.NONE);
         int before = 0;
         for (int second = 0; second < 16; second++) {
