Send nothing new to an upstream that announces in an answer that it leaves

Callers' requests reached an upstream up to 5.6 s after a node had forwarded an answer that said so, while the store was away, and would have been lost had it gone earlier. Cause: only the directory entry could say that an upstream leaves, and no entry changes while the store is away. Class: a statement of an upstream about itself that reaches a node by two ways, of which one was not read and the other may be older.

Seven of the eight cases of LeavingUpstreamTest failed before (listed until now); all eight pass. In two places the test ended requests within 0 ms, so that the other upstream looked infinitely fast; they take 200 ms now, and the assertions are the same.

Why it holds: UpstreamDirectory, from which each send and each batch call takes its upstream, keeps announcements beside the entries by incarnation, so that neither a contradicting entry nor a removed one ends them, only a restart. Heartbeats tell the other nodes.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -13,6 +13,7 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.notice.DepartureReport;
 
 /** The registered upstreams, and which of them are eligible for new work. */
 public final class UpstreamDirectory {
@@ -26,6 +27,7 @@
     private final Map<PoolId, TreeMap<VmId, Upstream>> byPool = new HashMap<>();
     private final Map<VmId, Instant> pendingRemovals = new HashMap<>();
     private final Set<DomainId> domainsOutOfService = new HashSet<>();
+    private final Departures departures = new Departures();
 
     /** The effect of an update on the directory. */
     public enum Change {
@@ -87,6 +89,7 @@
 
     /** Removes the entries that have not reappeared after an outage; returns their ids. */
     public List<VmId> onTick(Instant now) {
+        departures.expire(upstreams::containsKey, now);
         List<VmId> dropped = new ArrayList<>();
         for (Map.Entry<VmId, Instant> entry : Map.copyOf(pendingRemovals).entrySet()) {
             if (!now.isBefore(entry.getValue())) {
@@ -107,6 +110,21 @@
         }
     }
 
+    /**
+     * Processes the announcement of an upstream that it leaves.
+     *
+     * @param incarnation the incarnation that announced it
+     * @param at the time of the announcement
+     */
+    public Change onDeparture(VmId id, long incarnation, Instant at) {
+        return departures.add(id, incarnation, at) ? Change.LEFT : Change.NONE;
+    }
+
+    /** The announcements of upstreams that leave, for other nodes; the latest ones if there are many. */
+    public List<DepartureReport> departures(Instant now) {
+        return departures.reports(now);
+    }
+
     /** Takes a failure domain out of service or puts it back into service. */
     public void onDomain(DomainId domain, boolean outOfService) {
         if (outOfService) {
@@ -120,7 +138,7 @@
     public List<Upstream> usable(PoolId pool) {
         List<Upstream> usable = new ArrayList<>();
         for (Upstream upstream : byPool.getOrDefault(pool, new TreeMap<>()).values()) {
-            if (!upstream.listing().leaving() && !domainsOutOfService.contains(upstream.domain())) {
+            if (usable(upstream)) {
                 usable.add(upstream);
             }
         }
@@ -137,7 +155,13 @@
     /** Whether an upstream is eligible for new work. */
     public boolean usable(VmId id) {
         Upstream known = upstreams.get(id);
-        return known != null && !known.listing().leaving() && !domainsOutOfService.contains(known.domain());
+        return known != null && usable(known);
+    }
+
+    private boolean usable(Upstream upstream) {
+        return !upstream.listing().leaving()
+                && !departures.contains(upstream.listing())
+                && !domainsOutOfService.contains(upstream.domain());
     }
 
     /** The upstream with an id; empty if it is not listed. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -12,6 +12,7 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.rollout.RolloutSample;
 
@@ -27,6 +28,7 @@
      * @param positions the sender's position in each feed
      * @param waits expected queueing delays at the pools whose calls the sender schedules; short ones are omitted
      * @param rateLimits the rate limits of upstreams that the sender knows; the newest ones if there are many
+     * @param departures the upstreams that leave by their own word; the latest ones if there are many
      */
     record Heartbeat(
             boolean reply,
@@ -35,12 +37,14 @@
             boolean storeLost,
             Map<FeedName, Long> positions,
             List<QueueDelayEstimate> waits,
-            List<RateLimitReport> rateLimits)
+            List<RateLimitReport> rateLimits,
+            List<DepartureReport> departures)
             implements ServingMessage {
         /** Makes a defensive copy of the lists. */
         public Heartbeat {
             waits = List.copyOf(waits);
             rateLimits = List.copyOf(rateLimits);
+            departures = List.copyOf(departures);
         }
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
@@ -56,7 +56,7 @@
 
     @Override
     public void onAnswer(Listing server, UpstreamNotice notice, boolean successful, Instant startedAt, Instant now) {
-        notices.onAnswer(server.id(), notice, successful, startedAt, now);
+        notices.onAnswer(server, notice, successful, startedAt, now);
     }
 
     @Override
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -1,14 +1,16 @@
 package org.wagtaillug.serving;
 
 import java.time.Instant;
-import java.util.List;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
+import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.notice.AnnouncedRateLimits;
+import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.notice.UpstreamNotice;
 
@@ -33,15 +35,35 @@
      * @param successful whether the answer is a success
      * @param sentAt when the request was sent
      */
-    void onAnswer(VmId upstream, UpstreamNotice notice, boolean successful, Instant sentAt, Instant now) {
-        if (rateLimits.onAnswer(upstream, notice.rateLimit(), successful, sentAt, now)) {
-            log(rateLimit(upstream, notice.rateLimit()).field("source", "answer"));
+    void onAnswer(Listing upstream, UpstreamNotice notice, boolean successful, Instant sentAt, Instant now) {
+        VmId id = upstream.id();
+        if (rateLimits.onAnswer(id, notice.rateLimit(), successful, sentAt, now)) {
+            log(rateLimit(id, notice.rateLimit()).field("source", "answer"));
+        }
+        if (notice.leaving()) {
+            UpstreamDirectory.Change change = directory.onDeparture(id, upstream.incarnation(), now);
+            logDeparture(id, upstream.incarnation(), change, "answer");
+        }
+    }
+
+    private void logDeparture(VmId upstream, long incarnation, UpstreamDirectory.Change change, Object source) {
+        if (change != UpstreamDirectory.Change.NONE) {
+            log(Decision.builder("upstream")
+                    .field("upstream", upstream)
+                    .field("change", change)
+                    .field("incarnation", incarnation)
+                    .field("source", source));
         }
     }
 
     /** Processes what another node knows. */
-    void onReports(NodeId sender, List<RateLimitReport> reports, Instant now) {
-        for (RateLimitReport report : reports) {
+    void onHeartbeat(NodeId sender, ServingMessage.Heartbeat heartbeat, Instant now) {
+        for (DepartureReport report : heartbeat.departures()) {
+            UpstreamDirectory.Change change =
+                    directory.onDeparture(report.upstream(), report.incarnation(), now.minus(report.age()));
+            logDeparture(report.upstream(), report.incarnation(), change, sender);
+        }
+        for (RateLimitReport report : heartbeat.rateLimits()) {
             if (rateLimits.onReport(report, now)) {
                 log(rateLimit(report.upstream(), report.requestsPerSecond())
                         .field("source", sender)
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -396,7 +396,7 @@
         }
         finishReading(flow);
         log.answerStarted(flow, flow.target().get(), started.notice(), now);
-        notices.onAnswer(flow.target().get().id(), started.notice(), true, flow.sentAt(), now);
+        notices.onAnswer(flow.target().get().listing(), started.notice(), true, flow.sentAt(), now);
         health.onProgress(flow.target().get().id(), now);
         engineTimes.onFirstEvent(flow.pool(), flow.request().promptTokens(), Duration.between(flow.sentAt(), now), now);
         inputs.onAnswerStarted(flow, now);
@@ -425,7 +425,8 @@
         flow.clearTarget();
         recordEnd(flow, upstream, ended, now);
         boolean successful = end instanceof SendEnd.Passed;
-        ended.notice().ifPresent(notice -> notices.onAnswer(upstream.id(), notice, successful, flow.sentAt(), now));
+        ended.notice()
+                .ifPresent(notice -> notices.onAnswer(upstream.listing(), notice, successful, flow.sentAt(), now));
         switch (end) {
             case SendEnd.Passed ignored -> onPassed(flow, now);
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -207,13 +207,14 @@
                 feeds.storeLost(),
                 feeds.positions(),
                 orders.scheduler().waits(now),
-                notices.rateLimits().reports(now));
+                notices.rateLimits().reports(now),
+                directory.departures(now));
     }
 
     private void onPeerMessage(NodeId sender, ServingMessage message, Instant now) {
         switch (message) {
             case ServingMessage.Heartbeat heartbeat -> {
-                notices.onReports(sender, heartbeat.rateLimits(), now);
+                notices.onHeartbeat(sender, heartbeat, now);
                 if (membership.onHeartbeat(sender, heartbeat, reply -> heartbeat(reply, now), now)) {
                     orders.onPeerRestarted(sender.vm(), now);
                 }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
@@ -70,7 +70,7 @@
             nodes.get(sender).onDisconnected(receiver, now);
             return;
         }
-        Heartbeat heartbeat = new Heartbeat(reply, true, false, false, Map.of(), List.of(), List.of());
+        Heartbeat heartbeat = new Heartbeat(reply, true, false, false, Map.of(), List.of(), List.of(), List.of());
         nodes.get(receiver).onHeartbeat(new NodeId(sender, 1), heartbeat, now);
         if (!reply && !nodes.get(receiver).watches(sender)) {
             deliver(receiver, sender, true);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/LeavingUpstreamTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/LeavingUpstreamTest.java
@@ -59,6 +59,7 @@
         for (int number = 0; number < count; number++) {
             RequestId request = world.request(node, "lookup");
             targets.add(targetOf(request));
+            world.run(SECOND.dividedBy(5));
             world.endAttempt(node, request, new SendEnd.Passed());
         }
         return targets;
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -17,6 +17,7 @@
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.link.generated.DepartureMessage;
 import org.wagtaillug.link.generated.EnvelopeMessage;
 import org.wagtaillug.link.generated.FeedAskMessage;
 import org.wagtaillug.link.generated.FeedHelpMessage;
@@ -35,6 +36,7 @@
 import org.wagtaillug.link.generated.RolloutSampleMessage;
 import org.wagtaillug.link.generated.StepResultMessage;
 import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.rollout.RolloutSample;
 
@@ -106,6 +108,12 @@
                         .setRank(wait.rank())
                         .setWait(TimeCodec.encode(wait.expected()))));
         heartbeat.rateLimits().forEach(report -> message.addRateLimits(encode(report)));
+        heartbeat
+                .departures()
+                .forEach(report -> message.addDepartures(DepartureMessage.newBuilder()
+                        .setUpstream(report.upstream().value())
+                        .setIncarnation(report.incarnation())
+                        .setAgeMillis(report.age().toMillis())));
         return message.build();
     }
 
@@ -137,6 +145,13 @@
         }
         List<RateLimitReport> rateLimits = new ArrayList<>();
         message.getRateLimitsList().forEach(limit -> rateLimits.add(decode(limit)));
+        List<DepartureReport> departures = new ArrayList<>();
+        for (DepartureMessage departure : message.getDeparturesList()) {
+            departures.add(new DepartureReport(
+                    new VmId(departure.getUpstream()),
+                    departure.getIncarnation(),
+                    Duration.ofMillis(departure.getAgeMillis())));
+        }
         return new ServingMessage.Heartbeat(
                 message.getReply(),
                 message.getServing(),
@@ -144,7 +159,8 @@
                 message.getStoreLost(),
                 positions,
                 waits,
-                rateLimits);
+                rateLimits,
+                departures);
     }
 
     private static RolloutReportMessage encode(ServingMessage.RolloutReport report) {
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -21,6 +21,7 @@
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
 
 class ServingCodecTest {
@@ -45,7 +46,8 @@
                         List.of(new QueueDelayEstimate(new PoolId("encode"), 2, Duration.ofMillis(350))),
                         List.of(
                                 new RateLimitReport(new VmId("i-1"), OptionalDouble.of(0), Duration.ofMillis(40)),
-                                new RateLimitReport(new VmId("i-2"), OptionalDouble.empty(), Duration.ZERO))),
+                                new RateLimitReport(new VmId("i-2"), OptionalDouble.empty(), Duration.ZERO)),
+                        List.of(new DepartureReport(new VmId("i-3"), 1_790_000_000_000L, Duration.ofSeconds(2)))),
                 new ServingMessage.FeedUpdate(
                         FeedName.MEMBERSHIP,
                         4,
