Log for how long an upstream that refuses wants no requests

Callers' requests went to an upstream that had just asked their node for rest, and the logs did not show that it had.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
@@ -1,5 +1,6 @@
 package org.wagtaillug.notice;
 
+import java.time.Duration;
 import java.util.OptionalDouble;
 
 /**
@@ -7,8 +8,9 @@
  *
  * @param rateLimit the requests per second that it accepts from all nodes together; empty if it names no limit
  * @param leaving whether it is about to shut down and should get no new work
+ * @param pause how long this node should send it nothing after this refusal; zero if it names no time
  */
-public record UpstreamNotice(OptionalDouble rateLimit, boolean leaving) {
+public record UpstreamNotice(OptionalDouble rateLimit, boolean leaving, Duration pause) {
     /** The notice of an upstream that announces nothing. */
     public static final UpstreamNotice NONE = builder().build();
 
@@ -21,6 +23,7 @@
     public static final class Builder {
         private OptionalDouble rateLimit = OptionalDouble.empty();
         private boolean leaving;
+        private Duration pause = Duration.ZERO;
 
         private Builder() {}
 
@@ -36,8 +39,14 @@
             return this;
         }
 
+        /** Sets how long this node should send nothing to the upstream. */
+        public Builder pause(Duration requested) {
+            pause = requested;
+            return this;
+        }
+
         public UpstreamNotice build() {
-            return new UpstreamNotice(rateLimit, leaving);
+            return new UpstreamNotice(rateLimit, leaving, pause);
         }
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -95,6 +95,9 @@
         if (notice.leaving()) {
             line.field("leaving", true);
         }
+        if (!notice.pause().isZero()) {
+            line.field("pause_ms", notice.pause().toMillis());
+        }
         return line;
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleet.java
@@ -156,7 +156,7 @@
                             request,
                             answer.order().attempt(),
                             new SendEnd.Passed(),
-                            Optional.of(new UpstreamNotice(limit, false))));
+                            Optional.of(new UpstreamNotice(limit, false, Duration.ZERO))));
         }
     }
 
