Failing test: nodes go on sending to an upstream that has asked them for a pause

Callers' requests took a detour over an upstream that refused each of them and had asked the node for 3 s of rest.

--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -78,7 +78,7 @@
     /** Nodes that receive no messages from other nodes. */
     final Set<VmId> isolatedNodes = new HashSet<>();
 
-    /** What stage servers announce in their answers. */
+    /** What stage servers announce in their answers; one that requests a pause refuses all calls. */
     final Map<VmId, UpstreamNotice> notices = new HashMap<>();
 
     final Map<FeedName, List<FeedRecord>> store = new HashMap<>();
@@ -385,13 +385,17 @@
             results++;
             answers.add(new ItemAnswer.Made("result-" + results));
         }
+        Optional<UpstreamNotice> notice =
+                Optional.ofNullable(notices.get(call.upstream().id()));
+        boolean refused =
+                notice.filter(announced -> !announced.pause().isZero()).isPresent();
         schedule(
-                ITEMS.callOf(call.items().size()),
+                refused ? MESSAGE_DELAY : ITEMS.callOf(call.items().size()),
                 vm,
                 new ServingEvent.BatchCallEnded(
                         call.number(),
-                        new BatchCallEnd.Answered(answers),
-                        Optional.ofNullable(notices.get(call.upstream().id()))));
+                        refused ? new BatchCallEnd.NotRun() : new BatchCallEnd.Answered(answers),
+                        notice));
     }
 
     private void schedule(Duration delay, VmId vm, ServingEvent event) {
