Send nothing to an upstream during the pause that it requests in a refusal

Callers' requests took a detour over an upstream that refused each of them at once and had asked the node for 3 s of rest; each detour took a retry from the budget that all nodes share, and the upstream got the load that it could not take. Cause: a refusal as not run ended an attempt and left no trace for the next request; as its requests ended at once the upstream even looked free. Class: what an upstream says in a failure was used for one request only.

Why it holds: RequestedPauses is asked by UpstreamLimits and by the gate of the batch scheduler, through which every attempt, call and release goes. Unlike the suspension after failures it is binding when the pool has no other upstream; such requests, and orders whose stage servers are all paused for too long, are refused at once.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -161,8 +161,18 @@
         return Optional.of(new BatchOutcome.NotMade(BatchOutcome.Reason.OVERLOADED, retryAfter));
     }
 
-    /** Estimates how long items that are served before a rank keep the pool busy, including later ones of lower ranks. */
+    /** Estimates how long an order of a rank waits: for the servers to end their pauses, or for items before it. */
     private Duration expectedWait(PoolId pool, int rank, List<StageServer> usable, Instant now) {
+        Duration pause = usable.stream()
+                .map(server -> gate.pause(server.listing(), now))
+                .min(Comparator.naturalOrder())
+                .orElse(Duration.ZERO);
+        Duration queued = expectedQueueDelay(pool, rank, usable, now);
+        return pause.compareTo(queued) > 0 ? pause : queued;
+    }
+
+    /** Estimates how long items that are served before a rank keep the pool busy, including later ones of lower ranks. */
+    private Duration expectedQueueDelay(PoolId pool, int rank, List<StageServer> usable, Instant now) {
         BatchQueue queue = queues.get(pool);
         if (queue == null || queue.isEmpty()) {
             return Duration.ZERO;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
@@ -42,6 +42,11 @@
         return Double.POSITIVE_INFINITY;
     }
 
+    /** The time until a server that wants a pause may get requests again; zero if it wants none. */
+    default Duration pause(Listing server, Instant now) {
+        return Duration.ZERO;
+    }
+
     /** Called when a call to a server starts. */
     void onCall(Listing server);
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -126,10 +126,10 @@
         return eligible;
     }
 
-    /** Whether the rate limits that upstreams announce leave room for a request to an untried one by a time. */
-    public boolean rateAllowsBy(PoolId pool, Set<VmId> tried, Instant time, Instant now) {
+    /** Whether an untried upstream may get a request by a time, as far as it depends on their announcements. */
+    public boolean announcedAllowsBy(PoolId pool, Set<VmId> tried, Instant time, Instant now) {
         return directory.usable(pool).stream()
-                .anyMatch(upstream -> !tried.contains(upstream.id()) && limits.rateAllowsBy(upstream, time, now));
+                .anyMatch(upstream -> !tried.contains(upstream.id()) && limits.announcedAllowsBy(upstream, time, now));
     }
 
     private Duration expectedCompletion(Upstream upstream) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import org.wagtaillug.admission.FleetRateLimiter;
 import org.wagtaillug.admission.LimitShare;
+import org.wagtaillug.admission.RequestedPauses;
 import org.wagtaillug.admission.WarmupRateLimiter;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.id.VmId;
@@ -24,6 +25,7 @@
     private final WarmupRateLimiter warmupLimiter;
     private final ColdBound coldBound;
     private final FleetRateLimiter rateLimiter;
+    private final RequestedPauses pauses;
 
     /**
      * The limit on requests per second from all nodes to a cold upstream.
@@ -35,20 +37,26 @@
 
     /** Creates limits that are divided among the members of a roster. */
     public UpstreamLimits(
-            Roster roster, WarmupRateLimiter warmupLimiter, ColdBound coldBound, FleetRateLimiter rateLimiter) {
+            Roster roster,
+            WarmupRateLimiter warmupLimiter,
+            ColdBound coldBound,
+            FleetRateLimiter rateLimiter,
+            RequestedPauses pauses) {
         this.roster = roster;
         this.warmupLimiter = warmupLimiter;
         this.coldBound = coldBound;
         this.rateLimiter = rateLimiter;
+        this.pauses = pauses;
     }
 
-    /** Creates the same for upstreams that announce no rate limits. */
+    /** Creates the same for upstreams that announce nothing. */
     public UpstreamLimits(Roster roster, WarmupRateLimiter warmupLimiter, ColdBound coldBound) {
         this(
                 roster,
                 warmupLimiter,
                 coldBound,
-                new FleetRateLimiter(new AnnouncedRateLimits(), new LimitShare.AmongNodes(roster)));
+                new FleetRateLimiter(new AnnouncedRateLimits(), new LimitShare.AmongNodes(roster)),
+                new RequestedPauses());
     }
 
     /** Records a request that is sent to an upstream. */
@@ -57,9 +65,9 @@
         rateLimiter.onSent(upstream, now);
     }
 
-    /** Whether the rate limit that an upstream announces allows a request at a time, if none is sent before. */
-    boolean rateAllowsBy(Upstream upstream, Instant time, Instant now) {
-        return rateLimiter.allowsBy(upstream.id(), time, now);
+    /** Whether an upstream may get a request at a time by its own announcements, if it gets none before. */
+    boolean announcedAllowsBy(Upstream upstream, Instant time, Instant now) {
+        return pauses.remaining(upstream.id(), time).isZero() && rateLimiter.allowsBy(upstream.id(), time, now);
     }
 
     /** Whether one more request may go to an upstream where this node has so many in flight. */
@@ -67,7 +75,7 @@
         if (inFlight >= Math.max(1, pool.connections() / roster.sharingNodes())) {
             return false;
         }
-        if (!rateLimiter.allows(upstream.id(), now)) {
+        if (!announcedAllowsBy(upstream, now, now)) {
             return false;
         }
         if (pool.coldPerSecond() <= 0 || !upstream.cold(now)) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
@@ -9,8 +9,8 @@
 import org.wagtaillug.notice.UpstreamNotice;
 
 /**
- * Keeps the requests to stage servers within the rate limits that they announce. One node calls the servers of a pool,
- * so it may use a limit alone.
+ * Keeps the requests to stage servers within the rate limits and pauses that they announce. One node calls the servers
+ * of a pool, so it may use a limit alone.
  */
 final class NoticeCallGate implements CallGate {
     private final CallGate rollouts;
@@ -36,7 +36,7 @@
 
     @Override
     public boolean ready(Listing server, Instant now) {
-        return limiter.allows(server.id(), now);
+        return pause(server, now).isZero() && limiter.allows(server.id(), now);
     }
 
     @Override
@@ -44,6 +44,11 @@
         return limiter.rate(server.id(), now);
     }
 
+    @Override
+    public Duration pause(Listing server, Instant now) {
+        return notices.pauses().remaining(server.id(), now);
+    }
+
     @Override
     public void onCall(Listing server) {
         rollouts.onCall(server);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
+import org.wagtaillug.admission.RequestedPauses;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.id.NodeId;
@@ -19,6 +20,7 @@
     private final UpstreamDirectory directory;
     private final Consumer<ServingEffect> effects;
     private final AnnouncedRateLimits rateLimits = new AnnouncedRateLimits();
+    private final RequestedPauses pauses = new RequestedPauses();
 
     NoticeExchange(UpstreamDirectory directory, Consumer<ServingEffect> effects) {
         this.directory = directory;
@@ -29,6 +31,10 @@
         return rateLimits;
     }
 
+    RequestedPauses pauses() {
+        return pauses;
+    }
+
     /**
      * Processes what an upstream announces in an answer to this node.
      *
@@ -44,6 +50,11 @@
             UpstreamDirectory.Change change = directory.onDeparture(id, upstream.incarnation(), now);
             logDeparture(id, upstream.incarnation(), change, "answer");
         }
+        if (!notice.pause().isZero() && pauses.onRefused(id, notice.pause(), now)) {
+            log(Decision.builder("upstream_pause")
+                    .field("upstream", id)
+                    .field("pause_ms", notice.pause().toMillis()));
+        }
     }
 
     private void logDeparture(VmId upstream, long incarnation, UpstreamDirectory.Change change, Object source) {
@@ -75,9 +86,11 @@
     /** Handles the restart of an upstream. */
     void onRestarted(VmId upstream, Instant now) {
         rateLimits.onRestarted(upstream, now);
+        pauses.onRestarted(upstream);
     }
 
     void onTick(Instant now) {
+        pauses.onTick(now);
         rateLimits.onTick(id -> directory.find(id).isPresent(), now);
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -110,7 +110,8 @@
                         roster,
                         new WarmupRateLimiter(),
                         setup.coldBound(),
-                        new FleetRateLimiter(notices.rateLimits(), new LimitShare.AmongNodes(roster))),
+                        new FleetRateLimiter(notices.rateLimits(), new LimitShare.AmongNodes(roster)),
+                        notices.pauses()),
                 setup.domain(),
                 features);
         StepTimes times = new StepTimes(engineTimes, features);
@@ -345,7 +346,7 @@
     private void waitForUpstream(Flow flow, Instant now) {
         Duration maxWait = flow.route().latencyTarget().dividedBy(ADMISSION_WAIT_DIVISOR);
         Instant until = admissionDeadlines.computeIfAbsent(flow.request().id(), id -> now.plus(maxWait));
-        boolean hopeless = !chooser.rateAllowsBy(flow.pool(), flow.triedUpstreams(), until, now);
+        boolean hopeless = !chooser.announcedAllowsBy(flow.pool(), flow.triedUpstreams(), until, now);
         if (hopeless || !now.isBefore(until)) {
             fail(
                     flow,
