Announced rate limits: unit tests of their order, clearer names

NoticeCallGate, RequestFlows and LimitShare: names and comments that a newcomer would stumble over. No change of behaviour.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/admission/FleetRateLimiter.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/admission/FleetRateLimiter.java
@@ -29,7 +29,6 @@
     /** Lowest rate for all nodes together, in requests per second: without any request no node learns the end of a limit. */
     private static final double MIN_RATE = 0.1;
 
-    private static final double MILLIS_PER_SECOND = 1000;
     private static final long NANOS_PER_SECOND = 1_000_000_000;
 
     private final AnnouncedRateLimits limits;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/admission/LimitShare.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/admission/LimitShare.java
@@ -11,6 +11,6 @@
      */
     record AmongNodes(Roster roster) implements LimitShare {}
 
-    /** One node sends all requests, but for short times in which two nodes take it to be themselves. */
+    /** One node sends all requests; for a short time two nodes may both believe that they are that node. */
     record OneNode() implements LimitShare {}
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/Departures.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/Departures.java
@@ -38,7 +38,7 @@
         return true;
     }
 
-    /** Whether the upstream of a listing leaves, or an incarnation after it. */
+    /** Whether the listed incarnation of an upstream, or a later one, has announced that it leaves. */
     boolean contains(Listing listing) {
         Departure known = departures.get(listing.id());
         return known != null && listing.incarnation() <= known.incarnation();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -28,7 +28,7 @@
      * @param positions the sender's position in each feed
      * @param waits expected queueing delays at the pools whose calls the sender schedules; short ones are omitted
      * @param rateLimits the rate limits of upstreams that the sender knows; the newest ones if there are many
-     * @param departures the upstreams that leave by their own word; the latest ones if there are many
+     * @param departures the upstreams that have announced that they leave; the latest ones if there are many
      */
     record Heartbeat(
             boolean reply,
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
@@ -13,25 +13,25 @@
  * of a pool, so it may use a limit alone.
  */
 final class NoticeCallGate implements CallGate {
-    private final CallGate rollouts;
+    private final CallGate delegate;
     private final NoticeExchange notices;
     private final FleetRateLimiter limiter;
 
     /** Creates a gate for the servers that another gate allows. */
-    NoticeCallGate(CallGate rollouts, NoticeExchange notices) {
-        this.rollouts = rollouts;
+    NoticeCallGate(CallGate delegate, NoticeExchange notices) {
+        this.delegate = delegate;
         this.notices = notices;
         this.limiter = new FleetRateLimiter(notices.rateLimits(), new LimitShare.OneNode());
     }
 
     @Override
     public boolean allows(Listing server) {
-        return rollouts.allows(server);
+        return delegate.allows(server);
     }
 
     @Override
     public boolean preferred(Listing server) {
-        return rollouts.preferred(server);
+        return delegate.preferred(server);
     }
 
     @Override
@@ -51,7 +51,7 @@
 
     @Override
     public void onCall(Listing server) {
-        rollouts.onCall(server);
+        delegate.onCall(server);
     }
 
     @Override
@@ -66,6 +66,6 @@
 
     @Override
     public void onCallEnded(Listing server, boolean failed, Duration took, Duration expected) {
-        rollouts.onCallEnded(server, failed, took, expected);
+        delegate.onCallEnded(server, failed, took, expected);
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -346,8 +346,8 @@
     private void waitForUpstream(Flow flow, Instant now) {
         Duration maxWait = flow.route().latencyTarget().dividedBy(ADMISSION_WAIT_DIVISOR);
         Instant until = admissionDeadlines.computeIfAbsent(flow.request().id(), id -> now.plus(maxWait));
-        boolean hopeless = !chooser.announcedAllowsBy(flow.pool(), flow.triedUpstreams(), until, now);
-        if (hopeless || !now.isBefore(until)) {
+        boolean noneInTime = !chooser.announcedAllowsBy(flow.pool(), flow.triedUpstreams(), until, now);
+        if (noneInTime || !now.isBefore(until)) {
             fail(
                     flow,
                     ResultCode.UPSTREAM_FULL,
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/notice/AnnouncedRateLimitsTest.java
@@ -0,0 +1,86 @@
+package org.wagtaillug.notice;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.OptionalDouble;
+import org.junit.jupiter.api.Test;
+import org.wagtaillug.id.VmId;
+
+class AnnouncedRateLimitsTest {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final VmId UPSTREAM = new VmId("i-1");
+    private static final OptionalDouble LIMIT = OptionalDouble.of(2);
+    private static final OptionalDouble NONE = OptionalDouble.empty();
+
+    private final AnnouncedRateLimits limits = new AnnouncedRateLimits();
+
+    private static Instant at(int millis) {
+        return START.plusMillis(millis);
+    }
+
+    private static RateLimitReport report(OptionalDouble limit, int ageMillis) {
+        return new RateLimitReport(UPSTREAM, limit, Duration.ofMillis(ageMillis));
+    }
+
+    @Test
+    void aSuccessWithoutALimitEndsIt() {
+        assertThat(limits.onAnswer(UPSTREAM, LIMIT, true, START, at(100))).isTrue();
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(LIMIT);
+        assertThat(limits.onAnswer(UPSTREAM, NONE, true, at(101), at(200))).isTrue();
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(NONE);
+    }
+
+    /** Guards against an answer that was given before the limit was set and overtaken by one that names it. */
+    @Test
+    void anAnswerToARequestSentBeforeTheLimitWasKnownDoesNotEndIt() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, START, at(100));
+        assertThat(limits.onAnswer(UPSTREAM, NONE, true, at(90), at(110))).isFalse();
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(LIMIT);
+    }
+
+    /** Guards against a failure that a broken upstream sends without its usual headers. */
+    @Test
+    void aFailureWithoutALimitDoesNotEndIt() {
+        limits.onAnswer(UPSTREAM, LIMIT, false, START, at(100));
+        assertThat(limits.onAnswer(UPSTREAM, NONE, false, at(150), at(200))).isFalse();
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(LIMIT);
+    }
+
+    @Test
+    void theNewerOfAnAnswerAndAReportHolds() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, START, at(100));
+        assertThat(limits.onReport(report(NONE, 50), at(120))).isFalse();
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(LIMIT);
+        assertThat(limits.onReport(report(NONE, 10), at(120))).isTrue();
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(NONE);
+    }
+
+    /** Guards against a node that was cut off and brings back a limit that has ended. */
+    @Test
+    void anEndedLimitIsRememberedAndReported() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, START, at(100));
+        limits.onAnswer(UPSTREAM, NONE, true, at(150), at(200));
+        limits.onTick(upstream -> true, at(20_000));
+        assertThat(limits.onReport(report(LIMIT, 19_900), at(20_000))).isFalse();
+        assertThat(limits.reports(at(20_000))).containsExactly(report(NONE, 19_800));
+    }
+
+    /** Guards against reports that grow with every upstream that was ever limited. */
+    @Test
+    void limitsOfUpstreamsThatAreGoneAreDropped() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, START, at(0));
+        limits.onTick(upstream -> true, at(60_000));
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(LIMIT);
+        limits.onTick(upstream -> false, at(60_000));
+        assertThat(limits.reports(at(60_000))).isEmpty();
+    }
+
+    @Test
+    void aRestartEndsALimit() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, START, at(0));
+        limits.onRestarted(UPSTREAM, at(10));
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(NONE);
+    }
+}
