Read what stage servers announce in their answers to releases

Callers saw nothing; a stage server that had refused a release and asked for rest got the next one 20 ms later. Found while looking for the same cause as in the refused requests: the answer to a release was read for its status only. RequestedPauseTest. aStageServerThatRefusesAReleaseGetsNoOtherDuringItsPause failed before (6 releases in the pause, 1 expected) and passes. The notice of such an answer goes to the gate of the scheduler as that of a call does.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -82,7 +82,7 @@
     private long lastReleaseNumber;
     private Instant nextReleaseAt = Instant.EPOCH;
 
-    private record Release(StageServer server, List<String> handles) {}
+    private record Release(StageServer server, List<String> handles, Instant sentAt) {}
 
     private record PublishedOutcome(BatchOutcome outcome, Instant at) {}
 
@@ -558,7 +558,7 @@
                 lastReleaseNumber++;
                 List<String> handles = List.copyOf(server.pendingReleases());
                 server.pendingReleases().clear();
-                releases.put(lastReleaseNumber, new Release(server, handles));
+                releases.put(lastReleaseNumber, new Release(server, handles, now));
                 output.release(lastReleaseNumber, server.listing(), handles);
             }
         }
@@ -569,10 +569,16 @@
      * concurrently with the release first, and would have no capacity for its results.
      *
      * @param done whether the server processed the release; if not, the results stay until their lifetime ends
+     * @param notice what the server announces in its answer; empty if it sent none
      */
-    public void onReleaseEnded(long number, boolean done) {
+    public void onReleaseEnded(long number, boolean done, Optional<UpstreamNotice> notice, Instant now) {
         Release release = releases.remove(number);
-        if (release != null && done) {
+        if (release == null) {
+            return;
+        }
+        notice.ifPresent(
+                announced -> gate.onAnswer(release.server().listing(), announced, done, release.sentAt(), now));
+        if (done) {
             release.handles().forEach(release.server().results()::release);
         }
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
@@ -54,13 +54,13 @@
     default void onRequest(Listing server, Instant now) {}
 
     /**
-     * Called when a server has answered a call.
+     * Called when a server has answered a call or a release.
      *
      * @param notice what the server announces in the answer
-     * @param successful whether the server ran the call
-     * @param startedAt when the call was sent
+     * @param successful whether the answer is a success
+     * @param sentAt when the request was sent
      */
-    default void onAnswer(Listing server, UpstreamNotice notice, boolean successful, Instant startedAt, Instant now) {}
+    default void onAnswer(Listing server, UpstreamNotice notice, boolean successful, Instant sentAt, Instant now) {}
 
     /**
      * Called when a call ends that the server did not refuse.
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
@@ -60,8 +60,8 @@
     }
 
     @Override
-    public void onAnswer(Listing server, UpstreamNotice notice, boolean successful, Instant startedAt, Instant now) {
-        notices.onAnswer(server, notice, successful, startedAt, now);
+    public void onAnswer(Listing server, UpstreamNotice notice, boolean successful, Instant sentAt, Instant now) {
+        notices.onAnswer(server, notice, successful, sentAt, now);
     }
 
     @Override
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -96,7 +96,8 @@
             case ServingEvent.SendEnded ended -> flows.onSendEnded(ended, now);
             case ServingEvent.BatchCallEnded ended ->
                 orders.scheduler().onCallEnded(ended.call(), ended.end(), ended.notice(), now);
-            case ServingEvent.ReleaseEnded ended -> orders.scheduler().onReleaseEnded(ended.release(), ended.done());
+            case ServingEvent.ReleaseEnded ended ->
+                orders.scheduler().onReleaseEnded(ended.release(), ended.done(), ended.notice(), now);
             case ServingEvent.PeerMessageReceived received -> onPeerMessage(received.sender(), received.message(), now);
             case ServingEvent.PeerConnected connected -> {
                 peers.onConnected(connected.peer(), now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -82,8 +82,14 @@
      *
      * @param release number of the release
      * @param done whether the server has accepted it
+     * @param notice what the server announces in its answer; empty if it sent none
      */
-    record ReleaseEnded(long release, boolean done) implements ServingEvent {}
+    record ReleaseEnded(long release, boolean done, Optional<UpstreamNotice> notice) implements ServingEvent {
+        /** Creates an event for a release without a notice. */
+        ReleaseEnded(long release, boolean done) {
+            this(release, done, Optional.empty());
+        }
+    }
 
     /**
      * A message from another node has been received.
--- a/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerRandomTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerRandomTest.java
@@ -180,7 +180,7 @@
         public void release(long number, Listing server, List<String> handles) {
             schedule(Duration.ofMillis(1), () -> {
                 handles.forEach(handle -> removeResult(server.id(), handle));
-                scheduler.onReleaseEnded(number, true);
+                scheduler.onReleaseEnded(number, true, Optional.empty(), now);
             });
         }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerTest.java
@@ -152,7 +152,7 @@
         tick(Duration.ofMillis(20));
         order(2, 0, Duration.ofSeconds(2), 50, Optional.empty());
         assertThat(output.calls).hasSize(1);
-        scheduler.onReleaseEnded(output.releases.getFirst(), true);
+        scheduler.onReleaseEnded(output.releases.getFirst(), true, Optional.empty(), now);
         tick(Duration.ofMillis(20));
         assertThat(output.calls).hasSize(2);
     }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RequestedPauseTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RequestedPauseTest.java
@@ -137,6 +137,24 @@
         assertThat(requests(paused)).isGreaterThan(before);
     }
 
+    /** Guards against releases that go on to a server which has refused one of them. */
+    @Test
+    void aStageServerThatRefusesAReleaseGetsNoOtherDuringItsPause() {
+        VmId paused = new VmId(ENCODE + "-1");
+        List<RequestId> requests = new ArrayList<>();
+        for (int number = 0; number < 12; number++) {
+            requests.add(world.request(1, "draft", 6));
+        }
+        world.run(Duration.ofSeconds(2));
+        int before = requests(paused);
+        world.notices.put(paused, pause(PAUSE).get());
+        for (RequestId request : requests) {
+            world.handle(node(1), new ServingEvent.CallerDisconnected(request));
+            world.run(Duration.ofMillis(100));
+        }
+        assertThat(requests(paused) - before).isEqualTo(1);
+    }
+
     /** Guards against orders that wait for a pool whose servers all want a pause, until they are too late. */
     @Test
     void ordersAreRefusedAtOnceIfAllServersOfAPoolWantALongPause() {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -78,7 +78,7 @@
     /** Nodes that receive no messages from other nodes. */
     final Set<VmId> isolatedNodes = new HashSet<>();
 
-    /** What stage servers announce in their answers; one that requests a pause refuses all calls. */
+    /** What stage servers announce in their answers; one that requests a pause refuses all requests. */
     final Map<VmId, UpstreamNotice> notices = new HashMap<>();
 
     final Map<FeedName, List<FeedRecord>> store = new HashMap<>();
@@ -326,7 +326,11 @@
             case ServingEffect.CallBatch call -> callBatch(vm, call.call());
             case ServingEffect.ReleaseResults release -> {
                 release.handles().forEach(handle -> releaseCounts.merge(handle, 1, Integer::sum));
-                schedule(MESSAGE_DELAY, vm, new ServingEvent.ReleaseEnded(release.release(), true));
+                Optional<UpstreamNotice> notice =
+                        Optional.ofNullable(notices.get(release.server().id()));
+                boolean refused =
+                        notice.filter(announced -> !announced.pause().isZero()).isPresent();
+                schedule(MESSAGE_DELAY, vm, new ServingEvent.ReleaseEnded(release.release(), !refused, notice));
             }
             default -> {
                 // Tests read these from the recorded effects.
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
@@ -86,7 +86,7 @@
                                 release.handles().size(),
                                 FailureText.of(result.getFailure()));
                     }
-                    events.accept(new ServingEvent.ReleaseEnded(release.release(), confirmed));
+                    events.accept(new ServingEvent.ReleaseEnded(release.release(), confirmed, notice(result)));
                 });
     }
 
