--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -363,7 +363,7 @@
         return Duration.between(earliest, now);
     }
 
-    /** Processes the outcome of a call that was ended without an answer or by a server that announces nothing. */
+    /** Processes the outcome of a call whose server announces nothing. */
     public void onCallEnded(long number, BatchCallEnd end, Instant now) {
         onCallEnded(number, end, Optional.empty(), now);
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -126,10 +126,10 @@
         return eligible;
     }
 
-    /** Whether an untried upstream may get a request by a time, as far as it depends on their announcements. */
-    public boolean announcedAllowsBy(PoolId pool, Set<VmId> tried, Instant time, Instant now) {
+    /** Whether what upstreams announce allows a request to an untried one by a time. */
+    public boolean announcementsAllow(PoolId pool, Set<VmId> tried, Instant time, Instant now) {
         return directory.usable(pool).stream()
-                .anyMatch(upstream -> !tried.contains(upstream.id()) && limits.announcedAllowsBy(upstream, time, now));
+                .anyMatch(upstream -> !tried.contains(upstream.id()) && limits.announcementsAllow(upstream, time, now));
     }
 
     private Duration expectedCompletion(Upstream upstream) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
@@ -65,8 +65,8 @@
         rateLimiter.onSent(upstream, now);
     }
 
-    /** Whether an upstream may get a request at a time by its own announcements, if it gets none before. */
-    boolean announcedAllowsBy(Upstream upstream, Instant time, Instant now) {
+    /** Whether what an upstream announces allows a request at a time, if none is sent before. */
+    boolean announcementsAllow(Upstream upstream, Instant time, Instant now) {
         return pauses.remaining(upstream.id(), time).isZero() && rateLimiter.allowsBy(upstream.id(), time, now);
     }
 
@@ -75,7 +75,7 @@
         if (inFlight >= Math.max(1, pool.connections() / roster.sharingNodes())) {
             return false;
         }
-        if (!announcedAllowsBy(upstream, now, now)) {
+        if (!announcementsAllow(upstream, now, now)) {
             return false;
         }
         if (pool.coldPerSecond() <= 0 || !upstream.cold(now)) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -3,7 +3,10 @@
 import java.time.Instant;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
+import org.wagtaillug.admission.FleetRateLimiter;
+import org.wagtaillug.admission.LimitShare;
 import org.wagtaillug.admission.RequestedPauses;
+import org.wagtaillug.admission.WarmupRateLimiter;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.id.NodeId;
@@ -14,6 +17,9 @@
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.notice.UpstreamNotice;
+import org.wagtaillug.peer.Roster;
+import org.wagtaillug.routing.UpstreamLimits;
+import org.wagtaillug.routing.UpstreamLimits.ColdBound;
 
 /** Collects what upstreams announce in their answers and exchanges it with other nodes. */
 final class NoticeExchange {
@@ -35,6 +41,16 @@
         return pauses;
     }
 
+    /** Creates the limits on requests to upstreams, which follow what these announce. */
+    UpstreamLimits upstreamLimits(Roster roster, ColdBound coldBound) {
+        return new UpstreamLimits(
+                roster,
+                new WarmupRateLimiter(),
+                coldBound,
+                new FleetRateLimiter(rateLimits, new LimitShare.AmongNodes(roster)),
+                pauses);
+    }
+
     /**
      * Processes what an upstream announces in an answer to this node.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -9,9 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import org.wagtaillug.admission.FleetRateLimiter;
-import org.wagtaillug.admission.LimitShare;
-import org.wagtaillug.admission.WarmupRateLimiter;
 import org.wagtaillug.batch.BatchOrder;
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.batch.BatchScheduler;
@@ -37,7 +34,6 @@
 import org.wagtaillug.route.ServingConfiguration;
 import org.wagtaillug.route.Step;
 import org.wagtaillug.routing.UpstreamChooser;
-import org.wagtaillug.routing.UpstreamLimits;
 import org.wagtaillug.serving.ServingEffect.Outcome;
 
 /** The requests in progress on this node: advances each one and gives it exactly one final answer. */
@@ -104,16 +100,7 @@
         this.notices = notices;
         this.features = setup.features();
         this.chooser = new UpstreamChooser(
-                directory,
-                health,
-                new UpstreamLimits(
-                        roster,
-                        new WarmupRateLimiter(),
-                        setup.coldBound(),
-                        new FleetRateLimiter(notices.rateLimits(), new LimitShare.AmongNodes(roster)),
-                        notices.pauses()),
-                setup.domain(),
-                features);
+                directory, health, notices.upstreamLimits(roster, setup.coldBound()), setup.domain(), features);
         StepTimes times = new StepTimes(engineTimes, features);
         this.pathEstimate = new PathEstimate(times);
         this.steps = new FlowSteps(directory, orders, times, this::expectedDomain, features);
@@ -346,7 +333,7 @@
     private void waitForUpstream(Flow flow, Instant now) {
         Duration maxWait = flow.route().latencyTarget().dividedBy(ADMISSION_WAIT_DIVISOR);
         Instant until = admissionDeadlines.computeIfAbsent(flow.request().id(), id -> now.plus(maxWait));
-        boolean noneInTime = !chooser.announcedAllowsBy(flow.pool(), flow.triedUpstreams(), until, now);
+        boolean noneInTime = !chooser.announcementsAllow(flow.pool(), flow.triedUpstreams(), until, now);
         if (noneInTime || !now.isBefore(until)) {
             fail(
                     flow,
