--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/AnnouncingFleet.java
@@ -4,21 +4,25 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.PriorityQueue;
 import java.util.Random;
-import org.wagtaillug.id.RequestId;
+import java.util.Set;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.feed.DirectoryItem;
+import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.notice.UpstreamNotice;
 
 /**
- * Plays requests at a fleet whose upstreams announce rate limits in their answers, and counts from outside what each
- * upstream receives. Shares no code with the decisions of the nodes.
+ * Plays requests at a fleet whose upstreams announce rate limits, their leaving and pauses in their answers, and judges
+ * from outside what each upstream receives. Shares no code with the decisions of the nodes.
  */
-final class RateLimitFleet {
+final class AnnouncingFleet {
     /** Time that the fleet has to react to a limit that an upstream did not announce before. */
     static final Duration CONTACT = Duration.ofSeconds(3);
 
@@ -28,6 +32,8 @@
     private static final Duration NOTICE_TIME = Duration.ofMillis(500);
     private static final double EXCESS = 1.5;
     private static final int SLACK = 5;
+    private static final Duration DRAIN_TIME = Duration.ofSeconds(2);
+    private static final int MAX_REQUESTS_IN_PAUSE = 2;
 
     final ServingWorld world;
     private final Random random;
@@ -40,9 +46,28 @@
     private final Map<VmId, Integer> received = new HashMap<>();
     private final PriorityQueue<Answer> answers = new PriorityQueue<>();
     private final Map<VmId, String> violations = new HashMap<>();
+    private final Set<VmId> leaving = new HashSet<>();
+    private final Map<Link, Instant> leavingToldAt = new HashMap<>();
+    private final Map<VmId, Duration> pauses = new HashMap<>();
+    private final Map<Link, Pause> openPauses = new HashMap<>();
+    private final Map<VmId, Long> incarnations = new HashMap<>();
 
     private record Arrival(VmId node, Instant at) {}
 
+    /** A node and an upstream that has answered it. */
+    private record Link(VmId node, VmId upstream) {}
+
+    private static final class Pause {
+        private final Instant countedFrom;
+        private final Instant end;
+        private int requests;
+
+        private Pause(Instant countedFrom, Instant end) {
+            this.countedFrom = countedFrom;
+            this.end = end;
+        }
+    }
+
     private record Answer(Instant at, VmId node, SendOrder order) implements Comparable<Answer> {
         @Override
         public int compareTo(Answer other) {
@@ -51,7 +76,7 @@
     }
 
     /** Starts a fleet and registers further upstreams of the pool of plain requests, so that it has this many. */
-    RateLimitFleet(int nodes, int upstreams, long seed) {
+    AnnouncingFleet(int nodes, int upstreams, long seed) {
         this.nodes = nodes;
         random = new Random(seed);
         world = new ServingWorld(nodes);
@@ -74,9 +99,47 @@
         announced.put(upstream, limit);
     }
 
+    /** Lets an upstream announce from now on that it leaves. */
+    void announceLeaving(VmId upstream) {
+        leaving.add(upstream);
+    }
+
+    /** Lets an upstream refuse all requests and ask for a pause; a pause of zero ends this. */
+    void refuse(VmId upstream, Duration pause) {
+        pauses.put(upstream, pause);
+    }
+
+    /** Restarts an upstream, which announces nothing then. */
+    void restartUpstream(VmId upstream) {
+        long incarnation = incarnations.merge(upstream, 2L, (known, start) -> known + 1);
+        announce(upstream, OptionalDouble.empty());
+        leaving.remove(upstream);
+        pauses.remove(upstream);
+        leavingToldAt.keySet().removeIf(link -> link.upstream().equals(upstream));
+        openPauses.keySet().removeIf(link -> link.upstream().equals(upstream));
+        Listing listing = new Listing(
+                upstream,
+                incarnation,
+                ServingWorld.ORDERS,
+                "10.0.0.1",
+                80,
+                ServingWorld.NORTH,
+                false,
+                Duration.ZERO,
+                "");
+        world.write(FeedName.DIRECTORY, upstream.value(), new DirectoryItem.Listed(listing));
+    }
+
+    /** The number of nodes. */
+    int size() {
+        return nodes;
+    }
+
     /** Excuses a node that restarts from what it was told before. */
     void restart(VmId node, long incarnation) {
         informedAt.values().forEach(informed -> informed.remove(node));
+        leavingToldAt.keySet().removeIf(link -> link.node().equals(node));
+        openPauses.keySet().removeIf(link -> link.node().equals(node));
         answers.removeIf(answer -> answer.node().equals(node));
         world.start(node, incarnation);
     }
@@ -120,10 +183,31 @@
         arrivals.computeIfAbsent(upstream, id -> new ArrayList<>()).add(new Arrival(node, world.now));
         received.merge(upstream, 1, Integer::sum);
         answers.add(new Answer(world.now.plus(ANSWER_TIME), node, order));
-        check(upstream);
+        checkLimit(upstream);
+        checkDeparture(new Link(node, upstream));
+        checkPause(new Link(node, upstream));
+    }
+
+    private void checkDeparture(Link link) {
+        Instant told = leavingToldAt.get(link);
+        if (told != null && world.now.isAfter(told.plus(DRAIN_TIME))) {
+            long late = Duration.between(told, world.now).toMillis();
+            violations.putIfAbsent(link.upstream(), link.node() + " sent " + late + " ms after the announced leaving");
+        }
     }
 
-    private void check(VmId upstream) {
+    private void checkPause(Link link) {
+        Pause pause = openPauses.get(link);
+        if (pause == null || world.now.isBefore(pause.countedFrom) || !world.now.isBefore(pause.end)) {
+            return;
+        }
+        pause.requests++;
+        if (pause.requests > MAX_REQUESTS_IN_PAUSE) {
+            violations.putIfAbsent(link.upstream(), link.node() + " sent " + pause.requests + " requests in a pause");
+        }
+    }
+
+    private void checkLimit(VmId upstream) {
         OptionalDouble limit = announced.getOrDefault(upstream, OptionalDouble.empty());
         Instant from = world.now.minus(WINDOW);
         if (limit.isEmpty() || from.isBefore(announcedSince.get(upstream).plus(CONTACT))) {
@@ -149,18 +233,26 @@
             if (limit.isPresent()) {
                 informedAt.computeIfAbsent(upstream, id -> new HashMap<>()).putIfAbsent(answer.node(), world.now);
             }
-            RequestId request = answer.order().request();
+            Link link = new Link(answer.node(), upstream);
+            if (leaving.contains(upstream)) {
+                leavingToldAt.putIfAbsent(link, world.now);
+            }
+            Duration pause = pauses.getOrDefault(upstream, Duration.ZERO);
+            SendEnd end = new SendEnd.Passed();
+            if (!pause.isZero()) {
+                end = new SendEnd.NotRun(503);
+                openPauses.putIfAbsent(link, new Pause(world.now.plus(NOTICE_TIME), world.now.plus(pause)));
+            }
+            UpstreamNotice notice = new UpstreamNotice(limit, leaving.contains(upstream), pause);
             world.handle(
                     answer.node(),
                     new ServingEvent.SendEnded(
-                            request,
-                            answer.order().attempt(),
-                            new SendEnd.Passed(),
-                            Optional.of(new UpstreamNotice(limit, false, Duration.ZERO))));
+                            answer.order().request(), answer.order().attempt(), end, Optional.of(notice)));
         }
+        openPauses.values().removeIf(open -> !world.now.isBefore(open.end));
     }
 
-    /** The first excess over an announced limit, by upstream. */
+    /** The first request against an announcement, by upstream. */
     Map<VmId, String> violations() {
         return violations;
     }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleetTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RateLimitFleetTest.java
@@ -1,7 +1,7 @@
 package org.wagtaillug.serving;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.wagtaillug.serving.RateLimitFleet.upstream;
+import static org.wagtaillug.serving.AnnouncingFleet.upstream;
 import static org.wagtaillug.serving.ServingWorld.node;
 
 import java.time.Duration;
@@ -26,7 +26,7 @@
     @ParameterizedTest
     @CsvSource({"9, 1, 1", "9, 1, 2", "9, 5.5, 3", "9, 0.4, 4", "3, 1, 5", "3, 20, 6", "60, 1, 7", "60, 30, 8"})
     void anUpstreamGetsItsAnnouncedRateFromAllNodesTogether(int nodes, double rate, long seed) {
-        RateLimitFleet fleet = new RateLimitFleet(nodes, 4, seed);
+        AnnouncingFleet fleet = new AnnouncingFleet(nodes, 4, seed);
         fleet.announce(LIMITED, limit(rate));
         fleet.run(Duration.ofSeconds(14), 60);
         assertThat(fleet.violations()).isEmpty();
@@ -36,7 +36,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void allUpstreamsOfAPoolGetTheirAnnouncedRate(long seed) {
-        RateLimitFleet fleet = new RateLimitFleet(9, 3, seed);
+        AnnouncingFleet fleet = new AnnouncingFleet(9, 3, seed);
         for (int number = 1; number <= 3; number++) {
             fleet.announce(upstream(number), limit(number));
         }
@@ -49,7 +49,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void theAnnouncedRateHoldsWhileNodesRestart(long seed) {
-        RateLimitFleet fleet = new RateLimitFleet(9, 4, seed);
+        AnnouncingFleet fleet = new AnnouncingFleet(9, 4, seed);
         fleet.announce(LIMITED, limit(1));
         fleet.run(Duration.ofSeconds(6), 60);
         for (int number = 2; number <= 6; number++) {
@@ -64,7 +64,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void theAnnouncedRateHoldsWhileNodesJoin(long seed) {
-        RateLimitFleet fleet = new RateLimitFleet(9, 4, seed);
+        AnnouncingFleet fleet = new AnnouncingFleet(9, 4, seed);
         fleet.announce(LIMITED, limit(2));
         fleet.run(Duration.ofSeconds(6), 60);
         fleet.join(6);
@@ -76,7 +76,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void aLowerLimitHoldsForNodesThatWereToldTheHigherOne(long seed) {
-        RateLimitFleet fleet = new RateLimitFleet(9, 4, seed);
+        AnnouncingFleet fleet = new AnnouncingFleet(9, 4, seed);
         fleet.announce(LIMITED, limit(12));
         fleet.run(Duration.ofSeconds(7), 60);
         fleet.announce(LIMITED, limit(1));
@@ -88,7 +88,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3})
     void theAnnouncedRateHoldsWhileNodesAreCutOffFromEachOther(long seed) {
-        RateLimitFleet fleet = new RateLimitFleet(9, 4, seed);
+        AnnouncingFleet fleet = new AnnouncingFleet(9, 4, seed);
         fleet.world.isolatedNodes.add(node(3));
         fleet.world.isolatedNodes.add(node(4));
         fleet.world.isolatedNodes.add(node(5));
@@ -100,7 +100,7 @@
     /** Guards against an upstream that stays without load after its limit has ended. */
     @Test
     void anUpstreamGetsItsUsualLoadOnceItAnnouncesNoLimit() {
-        RateLimitFleet fleet = new RateLimitFleet(9, 4, 1);
+        AnnouncingFleet fleet = new AnnouncingFleet(9, 4, 1);
         fleet.run(Duration.ofSeconds(4), 60);
         int usual = fleet.receivedSinceLastCall(LIMITED);
         fleet.announce(LIMITED, limit(1));
