A delayed report of another node does not end a rate limit

An upstream could get more than it had just announced: a node that wakes from a freeze takes the reports in its sockets for new ones, and would have told the others that the limit had ended; and nodes that told each other the same made it look newer each time, by the delay of each exchange.

A report that allows more counts only if it is 5 s newer than what is known, one that says the same only if it is 1 s newer; a lower limit counts at once. A node's own answers count as before.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/notice/AnnouncedRateLimits.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/notice/AnnouncedRateLimits.java
@@ -24,9 +24,26 @@
     /** Bounds the size of heartbeats. */
     private static final int MAX_REPORTS = 64;
 
+    /** A report that says the same counts only if it is this much newer, as each exchange adds its own delay to the age. */
+    private static final Duration REPORT_DELAY = Duration.ofSeconds(1);
+
+    /**
+     * A report that allows more counts only if it is this much newer. A node that was frozen takes old reports for new
+     * ones, and must not end a limit that others have just been told.
+     */
+    private static final Duration MAX_REPORT_DELAY = Duration.ofSeconds(5);
+
     private final Map<VmId, Observation> newest = new HashMap<>();
 
-    private record Observation(OptionalDouble limit, Instant at) {}
+    /**
+     * @param at when the limit was last announced
+     * @param since when it was first announced
+     */
+    private record Observation(OptionalDouble limit, Instant at, Instant since) {
+        private double rate() {
+            return limit.orElse(Double.POSITIVE_INFINITY);
+        }
+    }
 
     /**
      * Processes an answer to this node.
@@ -37,13 +54,19 @@
      * @return whether the known limit has changed
      */
     public boolean onAnswer(VmId upstream, OptionalDouble limit, boolean successful, Instant sentAt, Instant now) {
-        Observation known = newest.get(upstream);
         if (limit.isPresent()) {
-            return update(upstream, new Observation(limit, now));
+            return update(upstream, limit, now);
         }
+        Observation known = newest.get(upstream);
         // The answer to a request sent before the limit became known may have been given before the limit was set.
-        boolean ends = known != null && known.limit().isPresent() && successful && sentAt.isAfter(known.at());
-        return ends && update(upstream, new Observation(limit, now));
+        if (known == null || !successful || !sentAt.isAfter(known.at())) {
+            return false;
+        }
+        boolean ended = known.limit().isEmpty();
+        if (ended && now.isAfter(known.since().plus(RETENTION))) {
+            return false;
+        }
+        return update(upstream, limit, now);
     }
 
     /**
@@ -54,21 +77,30 @@
     public boolean onReport(RateLimitReport report, Instant now) {
         Instant at = now.minus(report.age());
         Observation known = newest.get(report.upstream());
-        if (known != null && !at.isAfter(known.at())) {
+        if (known != null && !at.isAfter(known.at().plus(margin(known, report)))) {
             return false;
         }
-        return update(report.upstream(), new Observation(report.requestsPerSecond(), at));
+        return update(report.upstream(), report.requestsPerSecond(), at);
+    }
+
+    private static Duration margin(Observation known, RateLimitReport report) {
+        double reported = report.requestsPerSecond().orElse(Double.POSITIVE_INFINITY);
+        if (reported > known.rate()) {
+            return MAX_REPORT_DELAY;
+        }
+        return reported < known.rate() ? Duration.ZERO : REPORT_DELAY;
     }
 
-    private boolean update(VmId upstream, Observation observation) {
-        Observation previous = newest.put(upstream, observation);
-        OptionalDouble before = previous == null ? OptionalDouble.empty() : previous.limit();
-        return !before.equals(observation.limit());
+    private boolean update(VmId upstream, OptionalDouble limit, Instant at) {
+        Observation previous = newest.get(upstream);
+        boolean same = previous != null && previous.limit().equals(limit);
+        newest.put(upstream, new Observation(limit, at, same ? previous.since() : at));
+        return previous == null ? limit.isPresent() : !same;
     }
 
     /** Ends the limit of an upstream that has restarted. */
     public void onRestarted(VmId upstream, Instant now) {
-        newest.computeIfPresent(upstream, (id, known) -> new Observation(OptionalDouble.empty(), now));
+        newest.computeIfPresent(upstream, (id, known) -> new Observation(OptionalDouble.empty(), now, now));
     }
 
     /** Drops ended limits, and those of upstreams that are gone, after a retention period. */
--- a/wagtaillug-core/src/test/java/org/wagtaillug/notice/AnnouncedRateLimitsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/notice/AnnouncedRateLimitsTest.java
@@ -49,14 +49,46 @@
     }
 
     @Test
-    void theNewerOfAnAnswerAndAReportHolds() {
+    void aNewerReportOfALowerLimitHoldsAtOnce() {
         limits.onAnswer(UPSTREAM, LIMIT, true, START, at(100));
-        assertThat(limits.onReport(report(NONE, 50), at(120))).isFalse();
+        assertThat(limits.onReport(report(OptionalDouble.of(1), 50), at(120))).isFalse();
+        assertThat(limits.onReport(report(OptionalDouble.of(1), 10), at(120))).isTrue();
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(OptionalDouble.of(1));
+    }
+
+    /** Guards against a report that a frozen node took for a new one, about the time before the limit. */
+    @Test
+    void aReportThatAllowsMoreHoldsOnlyIfItIsNewerThanAnyDelay() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, START, at(10_000));
+        assertThat(limits.onReport(report(NONE, 100), at(13_500))).isFalse();
+        assertThat(limits.onReport(report(OptionalDouble.of(20), 100), at(13_500)))
+                .isFalse();
         assertThat(limits.limitOf(UPSTREAM)).isEqualTo(LIMIT);
-        assertThat(limits.onReport(report(NONE, 10), at(120))).isTrue();
+        assertThat(limits.onReport(report(NONE, 100), at(15_200))).isTrue();
         assertThat(limits.limitOf(UPSTREAM)).isEqualTo(NONE);
     }
 
+    /** Guards against nodes that make an observation newer by telling it to each other. */
+    @Test
+    void aReportThatSaysTheSameDoesNotRenewAnObservationByItsDelay() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, START, at(0));
+        for (int exchange = 1; exchange <= 50; exchange++) {
+            int delay = 100;
+            int age = (int) limits.reports(at(400 * exchange)).getFirst().age().toMillis();
+            limits.onReport(report(LIMIT, age), at(400 * exchange + delay));
+        }
+        assertThat(limits.reports(at(20_000))).containsExactly(report(LIMIT, 20_000));
+    }
+
+    /** Guards against nodes that are told of the end of a limit once only, when the report may still be a delayed one. */
+    @Test
+    void successesWithoutALimitRenewItsEnd() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, START, at(100));
+        limits.onAnswer(UPSTREAM, NONE, true, at(150), at(200));
+        assertThat(limits.onAnswer(UPSTREAM, NONE, true, at(5900), at(6000))).isFalse();
+        assertThat(limits.reports(at(6000))).containsExactly(report(NONE, 0));
+    }
+
     /** Guards against a node that was cut off and brings back a limit that has ended. */
     @Test
     void anEndedLimitIsRememberedAndReported() {
