A rate limit counts from the last request, not from the first choice after it

A caller was refused by a node that had sent nothing to a limited upstream for seconds: the token bucket began empty when the pool was used first after the limit had become known. The bucket now begins empty at the last request to the upstream, limited or not.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/admission/FleetRateLimiter.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/admission/FleetRateLimiter.java
@@ -47,7 +47,7 @@
         }
     }
 
-    /** Creates a limiter without tokens for any upstream. */
+    /** Creates a limiter that has sent nothing yet. */
     public FleetRateLimiter(AnnouncedRateLimits limits, LimitShare share) {
         this.limits = limits;
         this.share = share;
@@ -62,7 +62,6 @@
     public boolean allowsBy(VmId upstream, Instant time, Instant now) {
         OptionalDouble limit = limits.limitOf(upstream);
         if (limit.isEmpty()) {
-            buckets.remove(upstream);
             return true;
         }
         Quota quota = quota(upstream, limit.getAsDouble(), now);
@@ -77,13 +76,16 @@
                 : quota(upstream, limit.getAsDouble(), now).rate();
     }
 
-    /** Records a request to an upstream. */
+    /** Records a request to an upstream, limited or not, so that it counts if a limit becomes known just afterwards. */
     public void onSent(VmId upstream, Instant now) {
-        buckets.computeIfPresent(upstream, (id, bucket) -> new Bucket(bucket.tokens() - 1, bucket.at()));
+        boolean limited = limits.limitOf(upstream).isPresent();
+        Bucket bucket = buckets.get(upstream);
+        buckets.put(
+                upstream,
+                limited && bucket != null ? new Bucket(bucket.tokens() - 1, bucket.at()) : new Bucket(0, now));
     }
 
     private Bucket bucket(VmId upstream, Quota quota, Instant now) {
-        // A new bucket is empty, as this node may just have sent at the rate of an upstream without a limit.
         Bucket refilled = buckets.getOrDefault(upstream, new Bucket(0, now)).refilled(quota, now);
         buckets.put(upstream, refilled);
         return refilled;
