An unreadable rate limit in the head of a stream does not end the known one

An upstream could get more than it had announced after a header that cannot be read: for plain answers such a notice was left out, for streams it became one that announces nothing. NodeOnPlatformTest.anUnreadableRateLimitOfAStreamDoesNotEndTheKnownOne failed before (the third request was sent) and passes. AnswerStarted carries no notice then, as SendEnded.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -12,6 +12,7 @@
 import org.wagtaillug.batch.BatchOrder;
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.batch.BatchScheduler;
+import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.directory.VersionRule;
@@ -21,6 +22,7 @@
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.peer.Roster;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
@@ -383,8 +385,9 @@
             addSample(flow, false, now);
         }
         finishReading(flow);
-        log.answerStarted(flow, flow.target().get(), started.notice(), now);
-        notices.onAnswer(flow.target().get().listing(), started.notice(), true, flow.sentAt(), now);
+        log.answerStarted(flow, flow.target().get(), started.notice().orElse(UpstreamNotice.NONE), now);
+        Listing upstream = flow.target().get().listing();
+        started.notice().ifPresent(notice -> notices.onAnswer(upstream, notice, true, flow.sentAt(), now));
         health.onProgress(flow.target().get().id(), now);
         engineTimes.onFirstEvent(flow.pool(), flow.request().promptTokens(), Duration.between(flow.sentAt(), now), now);
         inputs.onAnswerStarted(flow, now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -37,12 +37,12 @@
      *
      * @param request the request
      * @param attempt its attempt
-     * @param notice what the upstream announces in the answer
+     * @param notice what the upstream announces in the answer; empty if that is unreadable
      */
-    record AnswerStarted(RequestId request, int attempt, UpstreamNotice notice) implements ServingEvent {
+    record AnswerStarted(RequestId request, int attempt, Optional<UpstreamNotice> notice) implements ServingEvent {
         /** Creates an event for an answer in which the upstream announces nothing. */
         AnswerStarted(RequestId request, int attempt) {
-            this(request, attempt, UpstreamNotice.NONE);
+            this(request, attempt, Optional.of(UpstreamNotice.NONE));
         }
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/LeavingUpstreamTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/LeavingUpstreamTest.java
@@ -125,7 +125,7 @@
         RequestId stream = world.request(1, "question", 0, 0);
         VmId engine = targetOf(stream);
         int attempt = world.sends(stream).getLast().attempt();
-        world.handle(node(1), new ServingEvent.AnswerStarted(stream, attempt, LEAVING.get()));
+        world.handle(node(1), new ServingEvent.AnswerStarted(stream, attempt, LEAVING));
         world.endAttempt(1, stream, new SendEnd.Broken("reset", Optional.of("3")));
         assertThat(world.sends(stream)).hasSize(2);
         assertThat(targetOf(stream)).isNotEqualTo(engine);
@@ -141,7 +141,7 @@
         RequestId first = world.request(1, "question", 0, 0);
         VmId engine = targetOf(first);
         int attempt = world.sends(first).getLast().attempt();
-        world.handle(node(1), new ServingEvent.AnswerStarted(first, attempt, LEAVING.get()));
+        world.handle(node(1), new ServingEvent.AnswerStarted(first, attempt, LEAVING));
         world.endAttempt(1, first, new SendEnd.Passed());
         world.run(SECOND);
         assertThat(targetOf(waiting)).isNotEqualTo(engine);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -33,7 +33,7 @@
     private final SendOrder order;
     private final RoutedExchange exchange;
     private final UpstreamTranslation translation;
-    private final Consumer<UpstreamNotice> onStarted;
+    private final Consumer<Optional<UpstreamNotice>> onStarted;
     private final BiConsumer<SendEnd, Optional<UpstreamNotice>> onEnd;
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter();
@@ -54,7 +54,7 @@
             SendOrder order,
             RoutedExchange exchange,
             UpstreamTranslation translation,
-            Consumer<UpstreamNotice> onStarted,
+            Consumer<Optional<UpstreamNotice>> onStarted,
             BiConsumer<SendEnd, Optional<UpstreamNotice>> onEnd) {
         this.order = order;
         this.exchange = exchange;
@@ -97,7 +97,7 @@
         }
         meaning = Meaning.STREAM;
         exchange.startAnswer(status, head);
-        onStarted.accept(translation.notice(status, head).orElse(UpstreamNotice.NONE));
+        onStarted.accept(translation.notice(status, head));
     }
 
     private void abort(Response response, String reason) {
