A pause that an upstream requested after its restart is kept when the restart is listed

Callers' requests could take the detour over an upstream that had asked for rest: a node without store that goes by an old entry is refused by the upstream after its restart, and reading the entry with the new start ended the pause. RequestedPauseTest.aRestartBeforeTheRefusalDoesNotEndThePause failed before and passes. A restart ends a pause only if the pause was requested before the start.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -100,10 +100,11 @@
         }
     }
 
-    /** Handles the restart of an upstream. */
-    void onRestarted(VmId upstream, Instant now) {
-        rateLimits.onRestarted(upstream, now);
-        pauses.onRestarted(upstream);
+    /** Handles the restart of an upstream, which may have been listed long after it. */
+    void onRestarted(Listing upstream, Instant now) {
+        Instant start = Instant.ofEpochMilli(upstream.incarnation());
+        rateLimits.onRestarted(upstream.id(), now);
+        pauses.onRestarted(upstream.id(), start);
     }
 
     void onTick(Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -311,7 +311,7 @@
                 if (change == UpstreamDirectory.Change.RESTARTED) {
                     health.onRestarted(listing.id());
                     flows.onRestarted(listing.id());
-                    notices.onRestarted(listing.id(), now);
+                    notices.onRestarted(listing, now);
                 }
                 logUpstream(listing.id(), change, record);
                 return !known || !listing.remainingColdTime().isZero();
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RequestedPauseTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RequestedPauseTest.java
@@ -116,10 +116,26 @@
     @Test
     void aRestartOfTheUpstreamEndsThePause() {
         refuseFirstNode(PAUSE);
-        Listing restarted = new Listing(UPSTREAM, 2, ORDERS, "10.0.0.1", 80, NORTH, false, Duration.ZERO, "");
+        list(world.now.toEpochMilli());
+        assertThat(targetsOfRequestsTo(1, Duration.ofSeconds(1))).contains(UPSTREAM);
+    }
+
+    /** Guards against an entry that shows a restart only after the restarted upstream has asked for the pause. */
+    @Test
+    void aRestartBeforeTheRefusalDoesNotEndThePause() {
+        world.cutOffFromStore.addAll(List.of(node(1), node(2), node(3)));
+        world.run(Duration.ofSeconds(1));
+        list(world.now.toEpochMilli());
+        refuseFirstNode(PAUSE.multipliedBy(2));
+        world.cutOffFromStore.clear();
+        world.run(PAUSE);
+        assertThat(targetsOfRequestsTo(1, Duration.ofSeconds(1))).doesNotContain(UPSTREAM);
+    }
+
+    private void list(long start) {
+        Listing restarted = new Listing(UPSTREAM, start, ORDERS, "10.0.0.1", 80, NORTH, false, Duration.ZERO, "");
         world.write(FeedName.DIRECTORY, UPSTREAM.value(), new DirectoryItem.Listed(restarted));
         world.run(Duration.ofSeconds(1));
-        assertThat(targetsOfRequestsTo(1, Duration.ofSeconds(1))).contains(UPSTREAM);
     }
 
     /** Guards against calls and releases for the orders of all nodes. */
