A rate limit that an upstream announced after its restart is kept when the restart is listed

An upstream could get more than it had announced: a node that hears of its restart late, from an entry read after an outage of the store, ended any limit of it, also one that the upstream had announced since its start. A restart now ends a limit only if it was announced before the start. AnnouncedRateLimitsTest. aRestartBeforeTheAnnouncementDoesNotEndALimit passes; it was not run on the code before, whose method took no start and ended every limit.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/notice/AnnouncedRateLimits.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/notice/AnnouncedRateLimits.java
@@ -98,9 +98,11 @@
         return previous == null ? limit.isPresent() : !same;
     }
 
-    /** Ends the limit of an upstream that has restarted. */
-    public void onRestarted(VmId upstream, Instant now) {
-        newest.computeIfPresent(upstream, (id, known) -> new Observation(OptionalDouble.empty(), now, now));
+    /** Ends the limit of an upstream that has restarted, unless it has announced the limit after its start. */
+    public void onRestarted(VmId upstream, Instant start, Instant now) {
+        newest.computeIfPresent(
+                upstream,
+                (id, known) -> known.at().isBefore(start) ? new Observation(OptionalDouble.empty(), now, now) : known);
     }
 
     /** Drops ended limits, and those of upstreams that are gone, after a retention period. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -103,7 +103,7 @@
     /** Handles the restart of an upstream, which may have been listed long after it. */
     void onRestarted(Listing upstream, Instant now) {
         Instant start = Instant.ofEpochMilli(upstream.incarnation());
-        rateLimits.onRestarted(upstream.id(), now);
+        rateLimits.onRestarted(upstream.id(), start, now);
         pauses.onRestarted(upstream.id(), start);
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/notice/AnnouncedRateLimitsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/notice/AnnouncedRateLimitsTest.java
@@ -112,7 +112,15 @@
     @Test
     void aRestartEndsALimit() {
         limits.onAnswer(UPSTREAM, LIMIT, true, START, at(0));
-        limits.onRestarted(UPSTREAM, at(10));
+        limits.onRestarted(UPSTREAM, at(10), at(1000));
         assertThat(limits.limitOf(UPSTREAM)).isEqualTo(NONE);
     }
+
+    /** Guards against an entry that shows a restart only after the restarted upstream has announced the limit. */
+    @Test
+    void aRestartBeforeTheAnnouncementDoesNotEndALimit() {
+        limits.onAnswer(UPSTREAM, LIMIT, true, at(20), at(30));
+        limits.onRestarted(UPSTREAM, at(10), at(1000));
+        assertThat(limits.limitOf(UPSTREAM)).isEqualTo(LIMIT);
+    }
 }
