A refusal reaches callers that are still sending their body

Callers saw: a caller that still sends its body when its request is refused read a part of the refusal, or nothing, and then a reset. It could not know that its booking had not run.

Cause: the node closed connections with unread bytes in the receive buffer, which the kernel answers with a reset. Only refusals of a shutdown read on for 150 ms, less than a caller may be without a processor on a busy machine. Bodies over the limit (413), over time (408) and changes of operators (403, 404, 413) were refused without reading on at all.

Change: RequestBody receives all bodies and reads on after a refusal, until the caller closes or for 3 s. A shutdown refuses incomplete bodies up to 1 s earlier, a quarter of a short grace period, so that reading on fits into the grace.

Ruled out: a refusal that is cut by the exit of the process; in CallersHandlerTest and AdministrationHandlerTest no process exits.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/drain/GracePeriod.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/drain/GracePeriod.java
@@ -18,6 +18,12 @@
     /** A short grace period reserves this share of it: one in eight. */
     private static final int EXIT_RESERVE_DIVISOR = 8;
 
+    /** The time for a caller that is still sending to read its refusal, at most. */
+    private static final Duration MAX_REFUSAL_TIME = Duration.ofSeconds(1);
+
+    /** A short grace period reserves this share of it for reading a refusal: one in four. */
+    private static final int REFUSAL_TIME_DIVISOR = 4;
+
     private final Duration length;
     private Optional<Instant> startedAt = Optional.empty();
 
@@ -32,8 +38,20 @@
 
     /** The share of a grace period that is reserved for writing the last answers and closing the ports. */
     public static Duration exitReserve(Duration length) {
-        Duration share = length.dividedBy(EXIT_RESERVE_DIVISOR);
-        return share.compareTo(MAX_EXIT_RESERVE) < 0 ? share : MAX_EXIT_RESERVE;
+        return portion(length, EXIT_RESERVE_DIVISOR, MAX_EXIT_RESERVE);
+    }
+
+    /**
+     * How long before the end of a grace period a request is refused whose body is still incomplete. Its caller may be
+     * slow to read the refusal, and loses the rest of it when the process exits.
+     */
+    public static Duration bodyReserve(Duration length) {
+        return exitReserve(length).plus(portion(length, REFUSAL_TIME_DIVISOR, MAX_REFUSAL_TIME));
+    }
+
+    private static Duration portion(Duration length, int divisor, Duration maximum) {
+        Duration share = length.dividedBy(divisor);
+        return share.compareTo(maximum) < 0 ? share : maximum;
     }
 
     /** Starts the grace period; further calls have no effect. */
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
@@ -224,6 +224,7 @@
                 .plus(grace)
                 .minus(GracePeriod.exitReserve(grace).dividedBy(2));
         callers.drain();
+        callers.refuseIncompleteAt(shutdownRequestedAt.get().plus(grace).minus(GracePeriod.bodyReserve(grace)));
         control.submit(new Event.DrainStarted(shutdownRequestedAt.get()));
         boolean finished = runner.drained().await(millisUntil(closeAt), TimeUnit.MILLISECONDS);
         callers.refuseAll();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
@@ -20,11 +20,12 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.URIUtil;
 import org.wagtaillug.contract.Body;
 import org.wagtaillug.daemon.DecisionLog;
 import org.wagtaillug.daemon.Json;
+import org.wagtaillug.daemon.body.BodyEnd;
+import org.wagtaillug.daemon.body.RequestBody;
 import org.wagtaillug.daemon.control.ControlThread;
 import org.wagtaillug.daemon.metrics.NodeMetrics;
 import org.wagtaillug.id.OperatorId;
@@ -75,7 +76,16 @@
         this.access = new Access(settings.accessTokens());
     }
 
-    private record Exchange(Request request, Response response, Callback callback) {}
+    private record Exchange(Request request, Response response, Callback callback) {
+        private Exchange with(Callback completion) {
+            return new Exchange(request, response, completion);
+        }
+
+        /** The exchange of a request that is refused without its body. */
+        private Exchange discardingBody() {
+            return with(RequestBody.discard(request, callback));
+        }
+    }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
@@ -102,7 +112,10 @@
         Optional<NodeSettings.AccessToken> holder =
                 access.holder(exchange.request().getHeaders().get(HttpHeader.AUTHORIZATION));
         if (holder.isEmpty()) {
-            refuse(exchange, ResultCode.FORBIDDEN, "no valid token; expected \"Authorization: Bearer TOKEN\"");
+            refuse(
+                    exchange.discardingBody(),
+                    ResultCode.FORBIDDEN,
+                    "no valid token; expected \"Authorization: Bearer TOKEN\"");
             return;
         }
         String method = exchange.request().getMethod();
@@ -189,29 +202,33 @@
 
     private void post(String path, NodeSettings.AccessToken holder, Exchange exchange) {
         if (!path.equals("/admin/changes")) {
-            refuseUnknown(path, exchange);
+            refuseUnknown(path, exchange.discardingBody());
             return;
         }
         if (holder.role() != NodeSettings.Role.OPERATOR) {
-            refuse(exchange, ResultCode.FORBIDDEN, "the token's role is reader; expected operator");
+            refuse(exchange.discardingBody(), ResultCode.FORBIDDEN, "the token's role is reader; expected operator");
             return;
         }
-        Promise.Invocable<byte[]> body = Promise.Invocable.from(
-                getInvocationType(),
-                bytes -> change(bytes, holder.operator(), exchange),
-                fault -> refuseBody(fault, exchange));
-        Content.Source.asByteArrayAsync(exchange.request(), MAX_BODY_BYTES, body);
+        RequestBody body = new RequestBody(
+                exchange.request(),
+                exchange.callback(),
+                MAX_BODY_BYTES,
+                (self, end, completion) -> onBodyEnd(end, holder.operator(), exchange.with(completion)));
+        body.receive();
     }
 
-    private static void refuseBody(Throwable fault, Exchange exchange) {
-        if (fault instanceof IllegalStateException) {
-            refuse(
-                    exchange,
-                    ResultCode.TOO_LARGE,
-                    "the body is too long; expected at most " + MAX_BODY_BYTES + " bytes");
-            return;
+    private void onBodyEnd(BodyEnd end, OperatorId operator, Exchange exchange) {
+        switch (end) {
+            case BodyEnd.Received body -> change(body.bytes(), operator, exchange);
+            case BodyEnd.TooLong ignored -> {
+                String message = "the body is too long; expected at most " + MAX_BODY_BYTES + " bytes";
+                refuse(exchange, ResultCode.TOO_LARGE, message);
+            }
+            case BodyEnd.Incomplete ignored -> refuse(exchange, ResultCode.BODY_CUT, "the body is incomplete");
+            case BodyEnd.TimedOut ignored -> refuse(exchange, ResultCode.BODY_CUT, "the body was not complete in time");
+            case BodyEnd.ShutDown ignored ->
+                refuse(exchange, ResultCode.SHUTTING_DOWN, "the node is shutting down; use another node");
         }
-        refuse(exchange, ResultCode.BODY_CUT, "the body is incomplete");
     }
 
     private void change(byte[] bytes, OperatorId operator, Exchange exchange) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RefusedBody.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/body/RefusedBody.java
@@ -1,4 +1,4 @@
-package org.wagtaillug.daemon.routed;
+package org.wagtaillug.daemon.body;
 
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.util.Callback;
@@ -12,7 +12,8 @@
  * sending, or after a short linger time.
  */
 final class RefusedBody {
-    private static final long LINGER_MILLIS = 150;
+    /** Covers callers that are slow to read; a caller that has read the refusal closes its connection earlier. */
+    private static final long LINGER_MILLIS = 3000;
 
     private final Callback callback;
     private final Scheduler scheduler;
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
@@ -3,12 +3,7 @@
 import io.vavr.control.Either;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.Set;
-import java.util.concurrent.CancellationException;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
+import java.time.Instant;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpHeader;
@@ -18,8 +13,10 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Promise;
 import org.wagtaillug.daemon.Json;
+import org.wagtaillug.daemon.body.BodyEnd;
+import org.wagtaillug.daemon.body.PendingBodies;
+import org.wagtaillug.daemon.body.RequestBody;
 import org.wagtaillug.daemon.control.MonotonicClock;
 import org.wagtaillug.node.Event;
 import org.wagtaillug.result.Refusal;
@@ -38,9 +35,8 @@
     private final BooleanSupplier ready;
     private final Limits limits;
     private final PendingAnswers pendingAnswers = new PendingAnswers();
-    private final Set<CompletableFuture<byte[]>> bodies = ConcurrentHashMap.newKeySet();
+    private final PendingBodies pendingBodies = new PendingBodies();
     private volatile boolean draining;
-    private volatile boolean refusingAll;
 
     /**
      * The limits of one request.
@@ -69,12 +65,14 @@
         exchanges.closeAfterAnswers();
     }
 
+    /** Refuses requests as not executed whose bodies are not complete at a time. */
+    public void refuseIncompleteAt(Instant end) {
+        pendingBodies.endAt(end, clock.now());
+    }
+
     /** Refuses every request from now on as not executed, including those whose body is still being received. */
     public void refuseAll() {
-        refusingAll = true;
-        for (CompletableFuture<byte[]> body : bodies) {
-            body.cancel(false);
-        }
+        pendingBodies.endAll();
     }
 
     /**
@@ -121,44 +119,29 @@
     }
 
     private void read(String path, Request request, Response response, Callback callback) {
-        if (request.getLength() > limits.bodyBytes()) {
-            refuse(tooLarge(), response, callback);
-            return;
-        }
         String template = path.substring(PATH_PREFIX.length(), path.length() - PATH_SUFFIX.length());
-        CompletableFuture<byte[]> body = new CompletableFuture<>();
-        bodies.add(body);
-        if (refusingAll) {
-            body.cancel(false);
-        }
-        Content.Source.asByteArrayAsync(request, limits.bodyBytes(), completing(body));
-        body.orTimeout(limits.senderTimeout().toMillis(), TimeUnit.MILLISECONDS).whenComplete((bytes, fault) -> {
-            bodies.remove(body);
-            onBodyRead(template, bytes, fault, new Exchange(request, response, callback));
+        RequestBody body = new RequestBody(request, callback, limits.bodyBytes(), (self, end, completion) -> {
+            pendingBodies.remove(self);
+            onBodyEnd(template, end, new Exchange(request, response, completion));
         });
-    }
-
-    private static Promise.Invocable<byte[]> completing(CompletableFuture<byte[]> body) {
-        return new Promise.Invocable.NonBlocking<>() {
-            @Override
-            public void succeeded(byte[] bytes) {
-                body.complete(bytes);
-            }
-
-            @Override
-            public void failed(Throwable fault) {
-                body.completeExceptionally(fault);
-            }
-        };
+        pendingBodies.add(body, clock.now());
+        body.endAfter(limits.senderTimeout(), new BodyEnd.TimedOut());
+        body.receive();
     }
 
     private record Exchange(Request request, Response response, Callback callback) {}
 
-    private void onBodyRead(String template, byte[] bytes, Throwable fault, Exchange exchange) {
-        if (fault != null) {
-            refuse(bodyRefusal(fault), exchange.response(), exchange.callback());
-            return;
+    private void onBodyEnd(String template, BodyEnd end, Exchange exchange) {
+        switch (end) {
+            case BodyEnd.Received body -> onBodyRead(template, body.bytes(), exchange);
+            case BodyEnd.TooLong ignored -> refuseUnread(tooLarge(), exchange);
+            case BodyEnd.TimedOut ignored -> refuseUnread(tooSlow(), exchange);
+            case BodyEnd.Incomplete ignored -> refuseUnread(bodyCut("the body is incomplete"), exchange);
+            case BodyEnd.ShutDown ignored -> refuseUnread(shuttingDown(), exchange);
         }
+    }
+
+    private void onBodyRead(String template, byte[] bytes, Exchange exchange) {
         var now = clock.now();
         Either<Refusal, RequestReader.ParsedRequest> read =
                 RequestReader.read(template, exchange.request().getHeaders(), bytes, now);
@@ -195,18 +178,24 @@
         return Refusal.notRun(ResultCode.TOO_LARGE, Duration.ZERO, message);
     }
 
-    private Refusal bodyRefusal(Throwable fault) {
-        if (fault instanceof TimeoutException) {
-            String message =
-                    "the body was not complete within " + limits.senderTimeout().toMillis() + " ms";
-            return Refusal.notRun(ResultCode.BODY_CUT, Duration.ZERO, message);
-        }
-        if (fault instanceof CancellationException) {
-            return Refusal.notRun(
-                    ResultCode.SHUTTING_DOWN, RETRY_AFTER, "the node is shutting down; retry on another node");
-        }
-        boolean tooLong = fault instanceof IllegalStateException || fault.getCause() instanceof IllegalStateException;
-        return tooLong ? tooLarge() : Refusal.notRun(ResultCode.BODY_CUT, Duration.ZERO, "the body is incomplete");
+    private Refusal tooSlow() {
+        return bodyCut(
+                "the body was not complete within " + limits.senderTimeout().toMillis() + " ms");
+    }
+
+    private static Refusal shuttingDown() {
+        return Refusal.notRun(
+                ResultCode.SHUTTING_DOWN, RETRY_AFTER, "the node is shutting down; retry on another node");
+    }
+
+    private static Refusal bodyCut(String message) {
+        return Refusal.notRun(ResultCode.BODY_CUT, Duration.ZERO, message);
+    }
+
+    /** Refuses a request whose body may still be coming; its connection cannot be used again. */
+    private static void refuseUnread(Refusal refusal, Exchange exchange) {
+        exchange.response().getHeaders().put(HttpHeader.CONNECTION, "close");
+        refuse(refusal, exchange.response(), exchange.callback());
     }
 
     private static void refuse(Refusal refusal, Response response, Callback callback) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -30,6 +30,7 @@
 import org.wagtaillug.daemon.control.ControlThread;
 import org.wagtaillug.daemon.control.MonotonicClock;
 import org.wagtaillug.daemon.translation.Translation;
+import org.wagtaillug.drain.GracePeriod;
 import org.wagtaillug.feed.RecordDecoder;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
@@ -166,7 +167,7 @@
         start(pooledClient);
         start(singleUseClient);
         decisions = new AsyncDecisionLog();
-        handler = new RoutedHandler(translation.callers(), exchanges, connections, control::submit);
+        handler = new RoutedHandler(translation.callers(), exchanges, connections, control::submit, clock::now);
         link = openLink();
         effects = new RoutedEffects(new RoutedEffects.Parts(
                 exchanges,
@@ -293,6 +294,7 @@
         onShutdownRequested();
         Instant graceEnd = shutdownRequestedAt.get().plus(settings.shutdownGrace());
         connections.closeAfterAnswers();
+        handler.refuseIncompleteAt(graceEnd.minus(GracePeriod.bodyReserve(settings.shutdownGrace())));
         control.submit(new ServingEvent.DrainStarted(shutdownRequestedAt.get()));
         boolean drained = effects.drained().await(millisUntil(graceEnd), TimeUnit.MILLISECONDS);
         Instant stopAt = graceEnd.minus(stopTimeout());
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
@@ -3,17 +3,18 @@
 import io.vavr.control.Either;
 import java.nio.ByteBuffer;
 import java.time.Duration;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.time.Instant;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.Promise;
+import org.wagtaillug.daemon.body.BodyEnd;
+import org.wagtaillug.daemon.body.PendingBodies;
+import org.wagtaillug.daemon.body.RequestBody;
 import org.wagtaillug.daemon.translation.CallerTranslation;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.result.Refusal;
@@ -28,31 +29,21 @@
     private final RoutedExchanges exchanges;
     private final CallerConnections connections;
     private final Consumer<ServingEvent> events;
-    private final Set<PendingBody> pendingBodies = ConcurrentHashMap.newKeySet();
+    private final Supplier<Instant> clock;
+    private final PendingBodies pendingBodies = new PendingBodies();
     private volatile CallerLimits limits = CallerLimits.DEFAULT;
 
     RoutedHandler(
             CallerTranslation translation,
             RoutedExchanges exchanges,
             CallerConnections connections,
-            Consumer<ServingEvent> events) {
+            Consumer<ServingEvent> events,
+            Supplier<Instant> clock) {
         this.translation = translation;
         this.exchanges = exchanges;
         this.connections = connections;
         this.events = events;
-    }
-
-    /** A request whose body is being read. The thread that removes it from the set answers it. */
-    private static final class PendingBody {
-        private final Request request;
-        private final Response response;
-        private final RefusedBody refusedBody;
-
-        private PendingBody(Request request, Response response, Callback callback) {
-            this.request = request;
-            this.response = response;
-            this.refusedBody = new RefusedBody(callback, request.getComponents().getScheduler());
-        }
+        this.clock = clock;
     }
 
     /** Sets the limits for callers. */
@@ -66,51 +57,54 @@
         // Requests end at their deadline, not when the connection is idle until the answer.
         request.addIdleTimeoutListener(timeout -> false);
         int maxBytes = limits.bodyBytes();
-        if (request.getLength() > maxBytes) {
-            refuse(tooLarge(maxBytes), request, response, callback);
-            return true;
-        }
-        PendingBody pending = new PendingBody(request, response, callback);
-        pendingBodies.add(pending);
-        Content.Source.asByteArrayAsync(request, maxBytes, new Promise.Invocable.NonBlocking<>() {
-            @Override
-            public void succeeded(byte[] body) {
-                if (pendingBodies.remove(pending)) {
-                    onBodyRead(request, response, callback, body);
-                } else {
-                    pending.refusedBody.onBodyEnded();
-                }
-            }
-
-            @Override
-            public void failed(Throwable fault) {
-                if (!pendingBodies.remove(pending)) {
-                    pending.refusedBody.onBodyEnded();
-                    return;
-                }
-                boolean tooLong = fault instanceof IllegalStateException;
-                Refusal refusal = tooLong
-                        ? tooLarge(maxBytes)
-                        : Refusal.notRun(ResultCode.BODY_CUT, Duration.ZERO, "the body is incomplete");
-                refuse(refusal, request, response, callback);
-            }
+        RequestBody body = new RequestBody(request, callback, maxBytes, (self, end, completion) -> {
+            pendingBodies.remove(self);
+            onBodyEnd(end, maxBytes, new Exchange(request, response, completion));
         });
+        pendingBodies.add(body, clock.get());
+        body.receive();
         return true;
     }
 
+    private record Exchange(Request request, Response response, Callback callback) {}
+
+    private void onBodyEnd(BodyEnd end, int maxBytes, Exchange exchange) {
+        switch (end) {
+            case BodyEnd.Received body ->
+                onBodyRead(exchange.request(), exchange.response(), exchange.callback(), body.bytes());
+            case BodyEnd.TooLong ignored -> refuseUnread(tooLarge(maxBytes), exchange);
+            case BodyEnd.Incomplete ignored -> refuseUnread(bodyCut("the body is incomplete"), exchange);
+            case BodyEnd.TimedOut ignored -> refuseUnread(bodyCut("the body was not complete in time"), exchange);
+            case BodyEnd.ShutDown ignored -> refuseUnread(shuttingDown(), exchange);
+        }
+    }
+
+    private static Refusal shuttingDown() {
+        String message = "node is shutting down, retry on another node";
+        return Refusal.notRun(ResultCode.SHUTTING_DOWN, Duration.ZERO, message);
+    }
+
+    private static Refusal bodyCut(String message) {
+        return Refusal.notRun(ResultCode.BODY_CUT, Duration.ZERO, message);
+    }
+
+    /** Refuses a request whose body may still be coming; its connection cannot be used again. */
+    private void refuseUnread(Refusal refusal, Exchange exchange) {
+        exchange.response().getHeaders().put(HttpHeader.CONNECTION, "close");
+        refuse(refusal, exchange.request(), exchange.response(), exchange.callback());
+    }
+
     /**
-     * Refuses requests whose bodies are incomplete: receiving a body may take longer than the remaining shutdown grace.
+     * Refuses requests whose bodies are not complete at a time: receiving them may take longer than the remaining
+     * shutdown grace, and callers need time to read the refusal.
      */
+    void refuseIncompleteAt(Instant end) {
+        pendingBodies.endAt(end, clock.get());
+    }
+
+    /** Refuses requests whose bodies are incomplete, and all that arrive from now on. */
     void refuseIncomplete() {
-        for (PendingBody pending : pendingBodies) {
-            if (pendingBodies.remove(pending)) {
-                String message = "node is shutting down, retry on another node";
-                Refusal refusal = Refusal.notRun(ResultCode.SHUTTING_DOWN, Duration.ZERO, message);
-                Callback onResponseWritten =
-                        Callback.from(pending.refusedBody::onWritten, pending.refusedBody::onWriteFailed);
-                refuse(refusal, pending.request, pending.response, onResponseWritten);
-            }
-        }
+        pendingBodies.endAll();
     }
 
     private static Refusal tooLarge(int maxBytes) {
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RefusedBodyTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/body/RefusedBodyTest.java
@@ -1,4 +1,4 @@
-package org.wagtaillug.daemon.routed;
+package org.wagtaillug.daemon.body;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/callers/CallersHandlerTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/callers/CallersHandlerTest.java
@@ -38,6 +38,11 @@
     private static final String KEY = "0193f1b2-7c00-7abc-8def-0123456789ab";
     private static final int MAX_BODY_BYTES = 1000;
     private static final int LARGER_THAN_BUFFERS = 16_000_000;
+    private static final int LARGE_PARTS = 100;
+    private static final int LARGE_PART_BYTES = 80_000;
+
+    /** Less than the 1,000 bytes that the slow caller may send, at one byte in 10 ms. */
+    private static final long SLOW_READER_PAUSE_MILLIS = 700;
 
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final Exchanges exchanges = new Exchanges();
@@ -268,6 +273,61 @@
         assertThat(events).isEmpty();
     }
 
+    /** Guards against a connection that is reset while its caller still sends, which loses the refusal. */
+    @ParameterizedTest
+    @CsvSource({"Content-Length: 8000000", "Transfer-Encoding: chunked"})
+    void aCallerThatReadsOnlyAfterItHasSentATooLongBodyGetsTheRefusal(String framing) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(20_000);
+            OutputStream out = socket.getOutputStream();
+            out.write(head(framing));
+            byte[] part = "x".repeat(LARGE_PART_BYTES).getBytes(StandardCharsets.US_ASCII);
+            boolean chunked = framing.contains("chunked");
+            for (int number = 0; number < LARGE_PARTS; number++) {
+                out.write(chunked ? chunkHead(part.length) : new byte[0]);
+                out.write(part);
+                out.write(chunked ? "\r\n".getBytes(StandardCharsets.US_ASCII) : new byte[0]);
+            }
+            out.write(chunked ? "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII) : new byte[0]);
+            assertThat(line(socket)).startsWith("HTTP/1.1 413");
+        }
+        assertThat(handler.awaitAnswers(Duration.ofSeconds(10))).isTrue();
+        assertThat(events).isEmpty();
+    }
+
+    /** Guards against a refusal of which a slow caller reads a part before its connection is reset. */
+    @Test
+    void aCallerThatKeepsSendingAndReadsSlowlyGetsTheWholeRefusal() throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream().write(head("Content-Length: 1000"));
+            StringBuilder answer =
+                    new StringBuilder().append((char) socket.getInputStream().read());
+            long readsAgainAt = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(SLOW_READER_PAUSE_MILLIS);
+            while (System.nanoTime() < readsAgainAt) {
+                socket.getOutputStream().write('.');
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+            while (answer.indexOf("}") < 0) {
+                socket.getOutputStream().write('.');
+                int next = socket.getInputStream().read();
+                assertThat(next).as("after " + answer).isNotNegative();
+                answer.append((char) next);
+            }
+            assertThat(answer.toString()).startsWith("HTTP/1.1 408").contains("not-run");
+        }
+    }
+
+    private static byte[] head(String framing) {
+        return ("POST /v1/templates/t/requests HTTP/1.1\r\nHost: x\r\nWagtaillug-Customer: c\r\n" + framing
+                        + "\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private static byte[] chunkHead(int length) {
+        return (Integer.toHexString(length) + "\r\n").getBytes(StandardCharsets.US_ASCII);
+    }
+
     private static String line(Socket socket) throws IOException {
         StringBuilder line = new StringBuilder();
         for (int next = socket.getInputStream().read();
