Decisions say until when an attempt may be sent, stand-ins what they ran when they fell over

A cold upstream that fell over left no trace of which attempts were there and by which right they had been sent, so a late request of a paused node, a fixed share and an excess allowance looked the same. The decision to start an attempt now has send_before; a stand-in that falls over names the attempts that it ran.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/DispatchDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/DispatchDecisions.java
@@ -19,6 +19,7 @@
                 .field("stage", attempt.stage().id())
                 .field("attempt", attempt.id().number())
                 .field("upstream", attempt.upstream().id())
+                .field("send_before", attempt.sendDeadline())
                 .field("reason", choice.reason());
         for (String alternative : choice.alternatives()) {
             builder.alternative(alternative);
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/upstream/Upstream.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/upstream/Upstream.java
@@ -160,7 +160,14 @@
     }
 
     private void crash(J job) {
-        LOGGER.log(System.Logger.Level.INFO, "{0}: crashes, overloaded while cold", name);
+        List<String> accepted =
+                slots.all().stream().map(each -> each.ids().attempt()).toList();
+        LOGGER.log(
+                System.Logger.Level.INFO,
+                "{0}: crashes, overloaded while cold by attempt {1}; attempts accepted before: {2}",
+                name,
+                job.ids().attempt(),
+                accepted);
         tally.fellOver();
         restart(options.restartMillis());
         job.exchange().fail(name + " has crashed: overloaded while cold");
