The slot of a cancelled attempt at a cold upstream stays taken until the upstream has noticed

Callers saw: an upstream that had just started got three requests where it bears two, fell over and failed all of them.

Cause: a cancelled attempt was recorded as "nothing is running there" and its slot was free at once, but the upstream works on it until it notices the closed connection. The next request was sent on top of it.

Node 3 had one slot at generate-zone-b; its hedge there was cancelled as the other attempt was complete, and 21 ms after its start the next hedge took the slot. Node 2 used its own slot at the same time; the stand-in still ran the cancelled attempt. Ruled out by them: a late request of the paused node (no attempt was its own), a fixed share, an allowance above the limit.

Change: an attempt that is cancelled after a byte may have left ends as ABANDONED; at a cold upstream its slot stays taken for a second, and the owner is told so.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/dispatch/Dispatcher.java
@@ -233,8 +233,9 @@
     }
 
     /**
-     * Maps the end of an attempt to the result that is recorded for its upstream. Only a stalled attempt may still be
-     * running there. A refused, reset or invalid one has ended, and may mean that the upstream has just started.
+     * Maps the end of an attempt to the result that is recorded for its upstream. Only a stalled or a cancelled attempt
+     * may still be running there. A refused, reset or invalid one has ended, and may mean that the upstream has just
+     * started.
      */
     private static UpstreamOutcome outcomeOf(LiveAttempt live, AttemptEnd end) {
         if (live.stalled()) {
@@ -244,7 +245,9 @@
             case AttemptEnd.Completed ignored -> UpstreamOutcome.SUCCEEDED;
             case AttemptEnd.Overloaded ignored -> UpstreamOutcome.OVERLOADED;
             case AttemptEnd.Rejected ignored -> UpstreamOutcome.CANCELLED;
-            case AttemptEnd.Failed ignored -> live.cancelled() ? UpstreamOutcome.CANCELLED : UpstreamOutcome.OVERLOADED;
+            case AttemptEnd.Failed failed
+            when live.cancelled() -> failed.byteLeft() ? UpstreamOutcome.ABANDONED : UpstreamOutcome.CANCELLED;
+            case AttemptEnd.Failed ignored -> UpstreamOutcome.OVERLOADED;
             case AttemptEnd.NotStarted ignored -> UpstreamOutcome.CANCELLED;
         };
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamGrant.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamGrant.java
@@ -16,6 +16,9 @@
 /** The allowance that a holder has for one upstream, and the attempts that it has in flight there. */
 final class UpstreamGrant {
     private static final Duration MAX_WARM_AGE = Duration.ofSeconds(3);
+    /** An upstream notices a cancelled request within this time, also if a packet is lost. */
+    static final Duration CANCELLATION_TIME = Duration.ofSeconds(1);
+
     private static final Duration UNGRANTED_RETENTION = Duration.ofSeconds(2);
     private static final Duration EVIDENCE_RETENTION = Duration.ofSeconds(30);
 
@@ -65,7 +68,7 @@
 
     /**
      * The number of requests that may be running there on behalf of this node, including those whose connection went
-     * silent.
+     * silent and those that were just abandoned.
      */
     int inUse(Instant now) {
         orphanedUntil.removeIf(until -> !now.isBefore(until));
@@ -99,8 +102,9 @@
      *
      * <p>A request whose connection went silent may continue to run: the upstream has lost the connection, not the
      * work. The request would be one more at a cold upstream than was granted, so its slot stays taken for as long as
-     * an attempt may run. News of a restart does not free the slot, since the attempt may have begun after that
-     * restart.
+     * an attempt may run. The slot of an abandoned request stays taken until the upstream has noticed, if it is cold; a
+     * warm one can take one request more for that time. News of a restart does not free a slot, since the attempt may
+     * have begun after that restart.
      */
     void onFinished(UpstreamOutcome outcome, Instant now) {
         if (inFlight == 0) {
@@ -119,6 +123,11 @@
                 suspend(now);
             }
             case OVERLOADED -> suspend(now);
+            case ABANDONED -> {
+                if (cold) {
+                    orphanedUntil.add(now.plus(CANCELLATION_TIME));
+                }
+            }
             case CANCELLED -> {
                 // No evidence about the upstream.
             }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamOutcome.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/UpstreamOutcome.java
@@ -10,10 +10,15 @@
      */
     FAILED,
     /**
-     * Abandoned, never sent, or rejected because of its content. Says nothing about the state of the upstream, and
-     * nothing is running there.
+     * Never sent, or rejected because of its content. Says nothing about the state of the upstream, and nothing is
+     * running there.
      */
     CANCELLED,
+    /**
+     * Cancelled by this node after a byte may have been sent. Says nothing about the state of the upstream, which works
+     * on the request until it notices that its connection is closed.
+     */
+    ABANDONED,
     /**
      * Refused, or the upstream could not be reached or closed the connection: nothing is running there, and the
      * upstream may be cold.
--- a/wagtaillug-core/src/main/java/org/wagtaillug/node/GrantedUpstreams.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/node/GrantedUpstreams.java
@@ -75,7 +75,7 @@
         switch (outcome) {
             case SUCCEEDED -> health.onEnded(vm.get(), took, true, now);
             case FAILED, OVERLOADED -> health.onEnded(vm.get(), took, false, now);
-            case CANCELLED -> health.onCancelled(upstream);
+            case CANCELLED, ABANDONED -> health.onCancelled(upstream);
         }
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/dispatch/DispatcherHarness.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/dispatch/DispatcherHarness.java
@@ -104,6 +104,12 @@
         return collect();
     }
 
+    DispatcherHarness disconnect(String request) {
+        lines.add("> disconnected " + request);
+        dispatcher.onCallerDisconnected(new RequestId(request), now, effects);
+        return collect();
+    }
+
     DispatcherHarness end(String request, String stage, int number, AttemptEnd end) {
         lines.add("> ended " + request + "/" + stage + "/" + number + " " + end);
         dispatcher.onEnded(new AttemptId(new RequestId(request), new StageId(stage), number), end, now, effects);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/dispatch/DispatcherTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/dispatch/DispatcherTest.java
@@ -11,6 +11,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.result.Payload;
@@ -147,6 +149,17 @@
         assertThat(harness.upstreams.finishes).contains("encode-1 FAILED");
     }
 
+    /** Guards against treating a cancelled request as ended while its upstream still works on it. */
+    @ParameterizedTest
+    @CsvSource({"true, encode-1 ABANDONED", "false, encode-1 CANCELLED"})
+    void aCancelledAttemptMayStillRunIfAByteOfItMayHaveBeenSent(boolean byteLeft, String finish) {
+        DispatcherHarness harness = new DispatcherHarness();
+        harness.arrive("draft", "menu-draft");
+        harness.disconnect("draft");
+        harness.end("draft", "encode", 1, new AttemptEnd.Failed(byteLeft, "cancelled"));
+        assertThat(harness.upstreams.finishes).containsExactly(finish);
+    }
+
     /**
      * Guards against responses that are cut off by a shutdown: a node has 5.9 s left and the three remaining stages
      * usually take 6 s. If the next stage started, the text would be cut off at the end of the grace period and the
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/ColdUpstreamTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/ColdUpstreamTest.java
@@ -38,4 +38,20 @@
                         served,
                         earlyStarts);
     }
+
+    /** Guards against a further request to a cold upstream that still works on one that was just cancelled. */
+    @Test
+    void neverExceedsTheColdLimitWhenAttemptsAreCancelled() {
+        for (long seed = 1; seed <= RUNS; seed++) {
+            boolean warms = seed % 2 == 0;
+            int coldLimit = 1 + (int) (seed / 2 % 3);
+            FakeConfiguration configuration = new FakeConfiguration(coldLimit, warms ? 4 : NEVER_WARM, 8);
+            GrantSimulation simulation = new GrantSimulation(seed, configuration, 3 + (int) (seed % 7), true);
+            simulation.cancelAttempts(seed);
+            simulation.varyDemand(4);
+            simulation.scheduleFaults(SECONDS, seed % 3 == 0 ? 8 : 40);
+            simulation.runUntil(SECONDS * 1000L);
+            assertThat(simulation.violation).as("seed %d", seed).isEmpty();
+        }
+    }
 }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantHolderTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantHolderTest.java
@@ -170,6 +170,20 @@
         assertThat(sentRequest(OWNER, over).demands().get(0).inUse()).isZero();
     }
 
+    /** Guards against a further request to a cold upstream that still works on one that was just cancelled. */
+    @Test
+    void keepsTheSlotOfARequestThatWasCancelledAtAColdUpstream() {
+        reply(sentRequest(OWNER, START), 1, Duration.ofSeconds(2), START);
+        holder.tryStart(ID, START);
+        holder.onFinished(ID, UpstreamOutcome.ABANDONED, START);
+        assertThat(holder.available(ID, START)).isZero();
+        assertThat(sentRequest(OWNER, START.plusMillis(500)).demands().get(0).inUse())
+                .isEqualTo(1);
+        Instant noticed = START.plus(UpstreamGrant.CANCELLATION_TIME);
+        assertThat(holder.available(ID, noticed.minusMillis(1))).isZero();
+        assertThat(holder.available(ID, noticed)).isEqualTo(1);
+    }
+
     @Test
     void startsNothingAtAnUpstreamThatLeavesOrIsOutOfService() {
         reply(sentRequest(OWNER, START), 1, Duration.ofMillis(500), START);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantSimulation.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/grant/GrantSimulation.java
@@ -3,11 +3,14 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import org.wagtaillug.contract.PoolContract;
 import org.wagtaillug.health.LoadReport;
 import org.wagtaillug.id.DomainId;
@@ -31,6 +34,9 @@
     private static final Instant EPOCH = Instant.ofEpochSecond(1_000_000);
     private static final int[] MAX_DELAYS = {300, 1000, 12_000};
     private static final int MAX_WORK = 9_500;
+    private static final int CANCELLED_PERCENT = 25;
+    private static final int MAX_MILLIS_TO_CANCELLATION = 200;
+    private static final int MAX_MILLIS_TO_NOTICE = 900;
 
     final Random random;
     final FakeConfiguration configuration;
@@ -38,6 +44,7 @@
     final Upstream upstream;
     boolean faults;
     private int silentRequestInterval = 20;
+    private Optional<Random> cancellations = Optional.empty();
     /** The first violation of the cold limit; empty if there is none. */
     String violation = "";
     /**
@@ -126,6 +133,11 @@
         }
     }
 
+    /** Lets nodes cancel some of their attempts, which the upstream notices later. Does not change other draws. */
+    void cancelAttempts(long seed) {
+        cancellations = Optional.of(new Random(seed));
+    }
+
     private Member anyMember() {
         return members.get(random.nextInt(members.size()));
     }
@@ -372,6 +384,7 @@
         private final int reportLag = 1 + random.nextInt(28);
         private int maxInFlight;
         private final List<Attempt> inFlight = new ArrayList<>();
+        private final Set<Attempt> abandoned = Collections.newSetFromMap(new IdentityHashMap<>());
         private final Deque<LoadReport> reportHistory = new ArrayDeque<>();
 
         Instant startedAt() {
@@ -400,12 +413,16 @@
             maxInFlight = Math.max(maxInFlight, inFlight.size());
             check(attempt);
             int arrivalProcess = process;
+            cancellations.ifPresent(draws -> maybeCancel(attempt, draws));
             int work = 20 + random.nextInt(faults && random.nextInt(4) == 0 ? MAX_WORK - 20 : 400);
             boolean silent = faults && random.nextInt(silentRequestInterval) == 0;
             after(work, () -> finish(attempt, arrivalProcess, silent));
             if (silent) {
-                after(2000, () -> attempt.member()
-                        .execute(() -> attempt.member().end(attempt, UpstreamOutcome.FAILED)));
+                after(2000, () -> attempt.member().execute(() -> {
+                    if (!abandoned.contains(attempt)) {
+                        attempt.member().end(attempt, UpstreamOutcome.FAILED);
+                    }
+                }));
             }
         }
 
@@ -433,13 +450,36 @@
                     + ", owner " + members.get(ownerIndex).name;
         }
 
+        private void maybeCancel(Attempt attempt, Random draws) {
+            int cancelledAfter = draws.nextInt(MAX_MILLIS_TO_CANCELLATION);
+            int noticedAfter = draws.nextInt(MAX_MILLIS_TO_NOTICE);
+            if (draws.nextInt(100) >= CANCELLED_PERCENT) {
+                return;
+            }
+            after(cancelledAfter, () -> attempt.member().execute(() -> {
+                if (!isInFlight(attempt)) {
+                    return;
+                }
+                abandoned.add(attempt);
+                attempt.member().end(attempt, UpstreamOutcome.ABANDONED);
+                after(noticedAfter, () -> remove(attempt));
+            }));
+        }
+
+        private boolean isInFlight(Attempt attempt) {
+            return inFlight.stream().anyMatch(each -> each == attempt);
+        }
+
+        private boolean remove(Attempt attempt) {
+            return inFlight.removeIf(each -> each == attempt);
+        }
+
         private void finish(Attempt attempt, int arrivalProcess, boolean silent) {
-            if (arrivalProcess != process) {
+            if (arrivalProcess != process || !remove(attempt)) {
                 return;
             }
-            inFlight.remove(attempt);
             successes++;
-            if (!silent) {
+            if (!silent && !abandoned.contains(attempt)) {
                 after(1 + random.nextInt(5), () -> attempt.member()
                         .execute(() -> attempt.member().end(attempt, UpstreamOutcome.SUCCEEDED)));
             }
@@ -448,6 +488,9 @@
         void restart() {
             process++;
             for (Attempt each : inFlight) {
+                if (abandoned.contains(each)) {
+                    continue;
+                }
                 after(1 + random.nextInt(5), () -> each.member()
                         .execute(() -> each.member().end(each, UpstreamOutcome.OVERLOADED)));
             }
