A load run begins when the readiness of all nodes is known

Seen by users of the load tool: a run reported requests as lost that another node would have served.

Cause: the run began with the first ready node. A retry avoids the node that broke its connection only if another one is known as ready, and until the first probe of the second node was answered none was.

Evidence: LoadRunTest.waitsForTheFirstProbeOfEachNode delays that probe by 300 ms.

--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Balancer.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/Balancer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpStatus;
 
 /** Selects nodes round-robin, like the platform's load balancer: only those whose {@code /readyz} answers 200. */
@@ -16,6 +17,7 @@
 
     private final HttpClient client;
     private final List<URI> nodes;
+    private final Set<URI> probed = ConcurrentHashMap.newKeySet();
     private final Set<URI> ready = ConcurrentHashMap.newKeySet();
     private final AtomicInteger nextIndex = new AtomicInteger();
 
@@ -29,16 +31,19 @@
         for (URI node : nodes) {
             client.newRequest(node.resolve("/readyz"))
                     .timeout(PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-                    .send(result -> {
-                        if (result.isSucceeded() && result.getResponse().getStatus() == HttpStatus.OK_200) {
-                            ready.add(node);
-                            return;
-                        }
-                        ready.remove(node);
-                    });
+                    .send(result -> onProbed(node, result));
         }
     }
 
+    private void onProbed(URI node, Result result) {
+        if (result.isSucceeded() && result.getResponse().getStatus() == HttpStatus.OK_200) {
+            ready.add(node);
+        } else {
+            ready.remove(node);
+        }
+        probed.add(node);
+    }
+
     /** Returns the next ready node; returns {@code avoided} only if no other node is ready. */
     Optional<URI> next(Optional<URI> avoided) {
         Optional<URI> preferred = nextOf(avoided);
@@ -61,6 +66,11 @@
         ready.remove(node);
     }
 
+    /** Whether the readiness of each node is known, from at least one probe that was answered or timed out. */
+    boolean allProbed() {
+        return probed.containsAll(nodes);
+    }
+
     boolean anyReady() {
         return !ready.isEmpty();
     }
--- a/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
+++ b/wagtaillug-standin/src/main/java/org/wagtaillug/standin/load/LoadRun.java
@@ -111,9 +111,10 @@
         client.start();
     }
 
+    /** Waits for a ready node and for the probes of all others, so that every ready node takes part from the beginning. */
     private boolean awaitReady() {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_TIMEOUT_MILLIS);
-        while (!balancer.anyReady()) {
+        while (!balancer.anyReady() || !balancer.allProbed()) {
             if (System.nanoTime() > end) {
                 return false;
             }
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/FakeNode.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/FakeNode.java
@@ -28,6 +28,9 @@
     /** While set, connections are aborted instead of answered. */
     volatile boolean abortsConnections;
 
+    /** How long the answer to a probe of the readiness takes. */
+    volatile long probeMillis;
+
     /** While set, requests are refused with a retry delay. */
     volatile boolean refusesWithRetry;
 
@@ -68,7 +71,8 @@
     @Override
     public void handle(Exchange exchange) {
         switch (exchange.path()) {
-            case "/readyz" -> exchange.answer(ready ? 200 : 503, "text/plain", new byte[0]);
+            case "/readyz" ->
+                timers.after(probeMillis, () -> exchange.answer(ready ? 200 : 503, "text/plain", new byte[0]));
             case "/executions" -> executions(exchange);
             default -> request(exchange);
         }
--- a/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
+++ b/wagtaillug-standin/src/test/java/org/wagtaillug/standin/load/LoadRunTest.java
@@ -217,6 +217,20 @@
         }
     }
 
+    /** Guards against a load that begins while the first probe of a node is unanswered, and avoids that node until then. */
+    @Test
+    void waitsForTheFirstProbeOfEachNode() throws Exception {
+        try (FakeNode wrong = FakeNode.start(true);
+                FakeNode right = FakeNode.start(true)) {
+            wrong.abortsConnections = true;
+            right.probeMillis = 300;
+            String kind = kind("book", false, ", idempotency_key: true");
+            GroupReport total =
+                    run(file(wrong.url() + ", " + right.url(), kind, "")).total();
+            assertThat(total.served()).isEqualTo(total.offered());
+        }
+    }
+
     @Test
     void asksNoThirdTime() throws Exception {
         try (FakeNode node = FakeNode.start(true)) {
