--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -78,6 +78,9 @@
     /** Nodes that receive no messages from other nodes. */
     final Set<VmId> isolatedNodes = new HashSet<>();
 
+    /** Nodes that cannot connect to any upstream, with the time until an attempt to connect fails. */
+    final Map<VmId, Duration> withoutUpstreams = new HashMap<>();
+
     /** What stage servers announce in their answers; one that requests a pause refuses all requests. */
     final Map<VmId, UpstreamNotice> notices = new HashMap<>();
 
@@ -324,6 +327,11 @@
             }
             case ServingEffect.WriteRecord write -> write(vm, write);
             case ServingEffect.CallBatch call -> callBatch(vm, call.call());
+            case ServingEffect.ReleaseResults release when withoutUpstreams.containsKey(vm) ->
+                schedule(
+                        withoutUpstreams.get(vm),
+                        vm,
+                        new ServingEvent.ReleaseEnded(release.release(), false, Optional.empty()));
             case ServingEffect.ReleaseResults release -> {
                 release.handles().forEach(handle -> releaseCounts.merge(handle, 1, Integer::sum));
                 Optional<UpstreamNotice> notice =
@@ -383,6 +391,14 @@
     }
 
     private void callBatch(VmId vm, BatchCall call) {
+        if (withoutUpstreams.containsKey(vm)) {
+            schedule(
+                    withoutUpstreams.get(vm),
+                    vm,
+                    new ServingEvent.BatchCallEnded(
+                            call.number(), new BatchCallEnd.Broken("connect timeout"), Optional.empty()));
+            return;
+        }
         batchCalls.add(call);
         List<ItemAnswer> answers = new ArrayList<>();
         for (int item = 0; item < call.items().size(); item++) {
