--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/PartitionedFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/PartitionedFleet.java
@@ -145,15 +145,13 @@
 
     private void onSend(VmId node, SendOrder order) {
         if (world.withoutUpstreams.containsKey(node)) {
-            ServingEvent failed = new ServingEvent.SendEnded(
-                    order.request(), order.attempt(), new SendEnd.Unsent("connect timeout"));
+            ServingEvent failed =
+                    new ServingEvent.SendEnded(order.request(), order.attempt(), new SendEnd.Unsent("connect timeout"));
             deliveries.add(new Delivery(world.now.plus(world.withoutUpstreams.get(node)), node, failed));
             return;
         }
         deliveries.add(new Delivery(
-                world.now.plus(FIRST_ANSWER),
-                node,
-                new ServingEvent.AnswerStarted(order.request(), order.attempt())));
+                world.now.plus(FIRST_ANSWER), node, new ServingEvent.AnswerStarted(order.request(), order.attempt())));
         deliveries.add(new Delivery(
                 world.now.plus(WHOLE_ANSWER),
                 node,
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -327,7 +327,8 @@
             }
             case ServingEffect.WriteRecord write -> write(vm, write);
             case ServingEffect.CallBatch call -> callBatch(vm, call.call());
-            case ServingEffect.ReleaseResults release when withoutUpstreams.containsKey(vm) ->
+            case ServingEffect.ReleaseResults release
+            when withoutUpstreams.containsKey(vm) ->
                 schedule(
                         withoutUpstreams.get(vm),
                         vm,
