--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchCallEnd.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchCallEnd.java
@@ -21,6 +21,13 @@
      */
     record Broken(String reason) implements BatchCallEnd {}
 
+    /**
+     * No byte of the call was sent.
+     *
+     * @param reason the cause, for the log
+     */
+    record Unsent(String reason) implements BatchCallEnd {}
+
     /** The outcome of one item. */
     sealed interface ItemAnswer {
         /**
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -363,6 +363,12 @@
         return Duration.between(earliest, now);
     }
 
+    /** The server of a call in progress; empty if there is no such call. */
+    public Optional<VmId> serverOf(long call) {
+        return Optional.ofNullable(calls.get(call))
+                .map(active -> active.server().listing().id());
+    }
+
     /** Processes the outcome of a call whose server announces nothing. */
     public void onCallEnded(long number, BatchCallEnd end, Instant now) {
         onCallEnded(number, end, Optional.empty(), now);
@@ -391,6 +397,7 @@
                 activeCall.items().forEach(this::requeue);
             }
             case BatchCallEnd.Broken broken -> onBroken(activeCall, broken.reason(), now);
+            case BatchCallEnd.Unsent unsent -> onBroken(activeCall, unsent.reason(), now);
         }
         dispatch(activeCall.pool(), now);
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -26,6 +26,7 @@
     private final Map<VmId, Upstream> upstreams = new HashMap<>();
     private final Map<PoolId, TreeMap<VmId, Upstream>> byPool = new HashMap<>();
     private final Map<VmId, Instant> pendingRemovals = new HashMap<>();
+    private final Map<VmId, Instant> listedColdUntil = new HashMap<>();
     private final Set<DomainId> domainsOutOfService = new HashSet<>();
     private final Departures departures = new Departures();
 
@@ -51,6 +52,7 @@
             byPool.get(known.pool()).remove(known.id());
         }
         pendingRemovals.remove(listing.id());
+        listedColdUntil.put(listing.id(), coldUntil);
         upstreams.put(listing.id(), upstream);
         byPool.computeIfAbsent(listing.pool(), pool -> new TreeMap<>()).put(listing.id(), upstream);
         if (known == null) {
@@ -82,6 +84,7 @@
     private void remove(VmId id) {
         Upstream known = upstreams.remove(id);
         pendingRemovals.remove(id);
+        listedColdUntil.remove(id);
         if (known != null) {
             byPool.get(known.pool()).remove(id);
         }
@@ -167,6 +170,22 @@
                 && !domainsOutOfService.contains(upstream.domain());
     }
 
+    /** Ends the assumption that the upstreams of a pool are cold after failed connections, which had another cause. */
+    public void clearConnectionFailures(PoolId pool) {
+        for (Upstream upstream :
+                List.copyOf(byPool.getOrDefault(pool, new TreeMap<>()).values())) {
+            Upstream updated =
+                    new Upstream(upstream.listing(), listedColdUntil.getOrDefault(upstream.id(), Instant.EPOCH));
+            upstreams.put(upstream.id(), updated);
+            byPool.get(pool).put(upstream.id(), updated);
+        }
+    }
+
+    /** The pools that have had upstreams. */
+    public Set<PoolId> pools() {
+        return Set.copyOf(byPool.keySet());
+    }
+
     /** The upstream with an id; empty if it is not listed. */
     public Optional<Upstream> find(VmId id) {
         return Optional.ofNullable(upstreams.get(id));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/health/UpstreamHealth.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/health/UpstreamHealth.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -168,6 +169,15 @@
         stats.averageDuration = Optional.empty();
     }
 
+    /** Resets the failures of upstreams, which had another cause than the upstreams. */
+    public void clearFailures(Collection<VmId> upstreams) {
+        for (VmId upstream : upstreams) {
+            UpstreamStats stats = stats(upstream);
+            stats.consecutiveFailures = 0;
+            stats.suspendedUntil = Instant.MIN;
+        }
+    }
+
     /** Removes the statistics of all upstreams that are not listed any more. */
     public void retain(Set<VmId> listed) {
         statsByUpstream.keySet().retainAll(listed);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.batch.QueueDelayEstimate;
 import org.wagtaillug.batch.StepResult;
@@ -29,6 +30,7 @@
      * @param waits expected queueing delays at the pools whose calls the sender schedules; short ones are omitted
      * @param rateLimits the rate limits of upstreams that the sender knows; the newest ones if there are many
      * @param departures the upstreams that have announced that they leave; the latest ones if there are many
+     * @param paths what the sender reaches, and offers to other nodes
      */
     record Heartbeat(
             boolean reply,
@@ -38,7 +40,8 @@
             Map<FeedName, Long> positions,
             List<QueueDelayEstimate> waits,
             List<RateLimitReport> rateLimits,
-            List<DepartureReport> departures)
+            List<DepartureReport> departures,
+            Paths paths)
             implements ServingMessage {
         /** Makes a defensive copy of the lists. */
         public Heartbeat {
@@ -48,6 +51,22 @@
         }
     }
 
+    /**
+     * The paths of a node to upstreams.
+     *
+     * @param unreachable the pools to whose upstreams it cannot connect
+     * @param acceptsTunnels whether it forwards connections of other nodes to the upstreams that it reaches
+     */
+    record Paths(Set<PoolId> unreachable, boolean acceptsTunnels) {
+        /** The paths of a node that reaches all pools and accepts no tunnels. */
+        public static final Paths OWN = new Paths(Set.of(), false);
+
+        /** Makes a defensive copy of the set. */
+        public Paths {
+            unreachable = Set.copyOf(unreachable);
+        }
+    }
+
     /**
      * The result of the sender's latest read of a feed, without records that change nothing.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -16,6 +16,7 @@
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage.Heartbeat;
+import org.wagtaillug.message.ServingMessage.Paths;
 
 /**
  * Failure detector for the nodes that this node depends on, based on heartbeats.
@@ -55,6 +56,9 @@
     /** The maximum number of candidates for one duty that are down and still watched, to detect their return. */
     private static final int MAX_DOWN_WATCHED = 8;
 
+    /** The maximum number of candidates for one duty that are up, cannot hold it now and are watched. */
+    private static final int MAX_UNABLE_WATCHED = 24;
+
     /** Connections to peers that are no longer watched are kept for this time, as a reply may be in transit. */
     private static final Duration CONNECTION_LINGER = Duration.ofSeconds(10);
 
@@ -64,6 +68,7 @@
     private final Map<VmId, Peer> peers = new HashMap<>();
     private final Map<VmId, Instant> watched = new HashMap<>();
     private Map<String, Duty> duties = Map.of();
+    private Set<PoolId> unreachable = Set.of();
     private boolean allHoldersFound;
 
     private static final class Peer {
@@ -75,6 +80,7 @@
         private long incarnation;
         private boolean serving;
         private boolean storeLost;
+        private Paths paths = Paths.OWN;
         private Map<FeedName, Long> positions = Map.of();
         private List<QueueDelayEstimate> waits = List.of();
     }
@@ -118,6 +124,7 @@
         peer.downAt = Instant.EPOCH;
         peer.serving = heartbeat.serving();
         peer.storeLost = heartbeat.storeLost();
+        peer.paths = heartbeat.paths();
         peer.positions = heartbeat.positions();
         peer.waits = heartbeat.waits();
         peer.followsUntil = heartbeat.follows() ? now.plus(failureTimeout()) : Instant.EPOCH;
@@ -155,12 +162,40 @@
         return peer != null && up(peer, now);
     }
 
+    /** Sets the pools to whose upstreams this node cannot connect. */
+    public void setUnreachable(Set<PoolId> pools) {
+        unreachable = Set.copyOf(pools);
+    }
+
     private boolean holds(Duty duty, VmId id, boolean serving, Instant now) {
         if (id.equals(self)) {
-            return serving;
+            return serving && duty.pool().filter(unreachable::contains).isEmpty();
         }
         Peer peer = peers.get(id);
-        return peer != null && peer.serving && up(peer, now) && !(duty.needsStore() && peer.storeLost);
+        return peer != null
+                && peer.serving
+                && up(peer, now)
+                && !(duty.needsStore() && peer.storeLost)
+                && !(duty.needsTunnels() && !peer.paths.acceptsTunnels())
+                && duty.pool().filter(peer.paths.unreachable()::contains).isEmpty();
+    }
+
+    /** Whether a peer has reported that it cannot connect to the upstreams of a pool. */
+    public boolean reportsUnreachable(VmId id, PoolId pool) {
+        return id.equals(self)
+                ? unreachable.contains(pool)
+                : peers.containsKey(id) && peers.get(id).paths.unreachable().contains(pool);
+    }
+
+    /** The peers that are up. */
+    public List<VmId> upPeers(Instant now) {
+        List<VmId> found = new ArrayList<>();
+        peers.forEach((id, peer) -> {
+            if (up(peer, now)) {
+                found.add(id);
+            }
+        });
+        return found;
     }
 
     /** Whether a candidate is down: it failed recently, or sent no heartbeat within the first-contact timeout. */
@@ -181,19 +216,27 @@
      * @param serving whether this node accepts work
      */
     public VmId dutyHolder(String duty, boolean serving, Instant now) {
-        List<VmId> holders = holders(duty, 1, serving, now);
+        Duty wanted = duties.getOrDefault(duty, Duty.of(List.of()));
+        List<VmId> holders = holders(wanted, 1, serving, now);
+        if (holders.isEmpty() && wanted.pool().isPresent()) {
+            // No node reaches the pool; one of them must be the first to notice when it is back.
+            holders = holders(Duty.of(wanted.ranking()), 1, serving, now);
+        }
         return holders.isEmpty() ? self : holders.getFirst();
     }
 
     /** The first {@code count} candidates for a duty that are up and accept work; fewer if there are not as many. */
     public List<VmId> holders(String duty, int count, boolean serving, Instant now) {
+        return holders(duties.getOrDefault(duty, Duty.of(List.of())), count, serving, now);
+    }
+
+    private List<VmId> holders(Duty duty, int count, boolean serving, Instant now) {
         List<VmId> found = new ArrayList<>();
-        Duty one = duties.getOrDefault(duty, Duty.of(List.of()));
-        for (VmId id : one.ranking()) {
+        for (VmId id : duty.ranking()) {
             if (found.size() == count) {
                 break;
             }
-            if (holds(one, id, serving, now)) {
+            if (holds(duty, id, serving, now)) {
                 found.add(id);
             }
         }
@@ -239,8 +282,9 @@
         int holding = 0;
         int down = 0;
         int untried = 0;
+        int unable = 0;
         for (VmId id : duty.ranking()) {
-            if (holding == duty.holders() || untried == MAX_UNTRIED) {
+            if (holding == duty.holders() || untried == MAX_UNTRIED || unable == MAX_UNABLE_WATCHED) {
                 break;
             }
             if (holds(duty, id, serving, now)) {
@@ -248,6 +292,7 @@
                 wanted.add(id);
             } else if (id.equals(self) || up(id, now)) {
                 // It is up but does not hold the duty now; its heartbeats show when that changes.
+                unable++;
                 wanted.add(id);
             } else if (!foundDown(id, now)) {
                 untried++;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -15,6 +15,7 @@
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.route.Route;
+import org.wagtaillug.route.RouteKind;
 import org.wagtaillug.route.Step;
 
 /** The state of one request, from its arrival to its answer. */
@@ -31,7 +32,9 @@
     private final Map<Integer, Instant> orderTimes = new HashMap<>();
     private final Set<Integer> released = new HashSet<>();
     private final Set<VmId> triedUpstreams = new HashSet<>();
+    private final Set<VmId> unreachedDirectly = new HashSet<>();
     private Optional<Upstream> target = Optional.empty();
+    private UpstreamPath path = UpstreamPath.DIRECT;
     private Instant sentAt = Instant.EPOCH;
     private Optional<Instant> firstEventAt = Optional.empty();
     private Optional<SlowestStep> slowestStep = Optional.empty();
@@ -326,10 +329,44 @@
         return target;
     }
 
+    /** The upstreams that must not get the request over a path: one that could not be reached directly may through a peer. */
+    Set<VmId> excludedUpstreams(UpstreamPath candidate) {
+        Set<VmId> excluded = new HashSet<>(triedUpstreams);
+        if (candidate instanceof UpstreamPath.ThroughPeer) {
+            excluded.removeAll(unreachedDirectly);
+        }
+        return excluded;
+    }
+
+    /** Records that no byte of the current attempt was sent, and that this says nothing about the upstream itself. */
+    void onPathFailed(VmId upstream) {
+        switch (path) {
+            case UpstreamPath.Direct ignored -> unreachedDirectly.add(upstream);
+            case UpstreamPath.ThroughPeer ignored -> triedUpstreams.remove(upstream);
+        }
+    }
+
+    /** The path of the latest attempt. */
+    UpstreamPath path() {
+        return path;
+    }
+
+    /** Whether a path is that of a direct connection, opened for the latest attempt. */
+    boolean opensConnection() {
+        return path instanceof UpstreamPath.Direct && needsFreshConnection();
+    }
+
+    /** Whether the request must not be sent on a connection that was used before. */
+    boolean needsFreshConnection() {
+        return route.kind() == RouteKind.STREAM || route.kind() == RouteKind.ONCE;
+    }
+
     /** Starts an attempt at an upstream; attempt numbers are unique within a run of the node. */
-    void startAttempt(Upstream upstream, int number, Instant now) {
+    void startAttempt(Upstream upstream, UpstreamPath attemptPath, int number, Instant now) {
         target = Optional.of(upstream);
+        path = attemptPath;
         triedUpstreams.add(upstream.id());
+        unreachedDirectly.remove(upstream.id());
         sentAt = now;
         readingPrompt = true;
         attempt = number;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -74,6 +74,7 @@
                 .field("incarnation", upstream.listing().incarnation())
                 .field("version", upstream.listing().version())
                 .field("domain", upstream.domain())
+                .field("path", flow.path())
                 .field("in_flight", inFlight)
                 .field("prompt_tokens", flow.request().promptTokens())
                 .field("kept_tokens", keptTokens)
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,9 @@
     private static final String ROLLOUT_DUTY = "rollouts";
     private static final String EXCHANGE_DUTY = "exchange";
 
+    /** Each node has a ranking of its own, so that nodes without a path divide their requests among many peers. */
+    private static final String TUNNEL_DUTY = "tunnels of ";
+
     private final NodeId self;
     private final Member member;
     private final Roster roster;
@@ -44,6 +48,8 @@
     private boolean rosterRead;
     private boolean rosterChanged;
     private boolean rolloutInProgress;
+    private Set<PoolId> suspectPools = Set.of();
+    private ServingMessage.Paths reportedPaths = ServingMessage.Paths.OWN;
 
     PeerMembership(
             ServingSetup setup,
@@ -87,19 +93,39 @@
         rosterChanged = false;
         Map<String, Duty> duties = new HashMap<>();
         for (PoolId pool : scheduledPools) {
-            duties.put(scheduling(pool), Duty.of(roster.ranking(scheduling(pool))));
+            duties.put(scheduling(pool), Duty.atPool(roster.ranking(scheduling(pool)), pool));
         }
         if (scheduledPools.isEmpty()) {
             // Nodes exchange what they know of upstreams through a node that all of them watch.
             duties.put(EXCHANGE_DUTY, Duty.of(roster.ranking(EXCHANGE_DUTY)));
         }
-        duties.put(FEED_DUTY, new Duty(roster.ranking(FEED_DUTY, member.domain()), FEED_READERS, true));
+        duties.put(FEED_DUTY, Duty.ofStoreReaders(roster.ranking(FEED_DUTY, member.domain()), FEED_READERS));
         if (rolloutInProgress) {
-            duties.put(ROLLOUT_DUTY, new Duty(roster.ranking(ROLLOUT_DUTY), 1, true));
+            duties.put(ROLLOUT_DUTY, Duty.ofStoreReaders(roster.ranking(ROLLOUT_DUTY), 1));
+        }
+        for (PoolId pool : suspectPools) {
+            List<VmId> others = new ArrayList<>(roster.ranking(TUNNEL_DUTY + self.vm()));
+            others.remove(self.vm());
+            duties.put(UpstreamPaths.tunnels(pool), Duty.ofTunnels(others, UpstreamPaths.TUNNEL_PEERS, pool));
         }
         peers.setDuties(duties);
     }
 
+    /** Reports changed paths to all peers and looks for peers with a path to the pools that may be unreachable. */
+    void onPathsChanged(UpstreamPaths paths, ServingMessage.Heartbeat heartbeat, Instant now) {
+        peers.setUnreachable(paths.report().unreachable());
+        if (!suspectPools.equals(paths.suspectPools())) {
+            suspectPools = paths.suspectPools();
+            updateDuties();
+        }
+        if (!reportedPaths.equals(paths.report())) {
+            reportedPaths = paths.report();
+            for (VmId peer : peers.upPeers(now)) {
+                effects.accept(new ServingEffect.SendToPeer(peer, heartbeat));
+            }
+        }
+    }
+
     /** Processes a record of the membership feed. */
     void onRecord(FeedRecord record, Instant now) {
         VmId id = new VmId(record.key());
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -45,9 +45,6 @@
     /** Route label in metrics for requests that match no route. */
     static final String NO_ROUTE = "none";
 
-    /** An upstream counts as cold for this long after a fault: two renewal periods of its directory entry. */
-    private static final Duration ASSUMED_COLD_AFTER_FAULT = Duration.ofMillis(2500);
-
     static final Duration DEFAULT_RETRY_AFTER = Duration.ofMillis(500);
 
     /** If all upstreams are too busy, a request waits for its latency target divided by this and is then refused. */
@@ -72,6 +69,8 @@
     private final ServingSetup.RetryLimits retryLimits;
     private final RolloutExchange rollouts;
     private final NoticeExchange notices;
+    private final UpstreamPaths paths;
+    private final AttemptOutcomes outcomes;
     private final Shutdown shutdown;
     private final RemainingTimeEstimate remainingTime = new RemainingTimeEstimate();
     private final EngineTimes engineTimes = new EngineTimes();
@@ -88,16 +87,17 @@
 
     RequestFlows(
             ServingSetup setup,
-            UpstreamDirectory directory,
-            UpstreamHealth health,
+            UpstreamState upstreams,
             Roster roster,
             StepOrders orders,
             RolloutExchange rollouts,
             NoticeExchange notices,
             Shutdown shutdown,
             Consumer<ServingEffect> effects) {
-        this.directory = directory;
-        this.health = health;
+        this.directory = upstreams.directory();
+        this.health = upstreams.health();
+        this.paths = upstreams.paths();
+        this.outcomes = new AttemptOutcomes(upstreams);
         this.roster = roster;
         this.notices = notices;
         this.features = setup.features();
@@ -303,20 +303,29 @@
             fail(flow, ResultCode.NO_UPSTREAM, "pool \"" + flow.pool() + "\" has no available upstream", now);
             return;
         }
-        Set<VmId> excluded = flow.triedUpstreams();
+        switch (paths.choose(flow.pool(), flow.request().id(), flow.attempts(), now)) {
+            case UpstreamPaths.Choice.Found found -> send(flow, pool.get(), found.path(), now);
+            case UpstreamPaths.Choice.Searching ignored -> waitForUpstream(flow, false, now);
+            case UpstreamPaths.Choice.None ignored ->
+                fail(flow, ResultCode.NO_UPSTREAM, "no node has a path to pool \"" + flow.pool() + "\"", now);
+        }
+    }
+
+    private void send(Flow flow, PoolProfile pool, UpstreamPath path, Instant now) {
+        Set<VmId> excluded = flow.excludedUpstreams(path);
         UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
                 flow.request().promptSegments(),
                 flow.request().promptTokens(),
                 steps.domainOf(flow.inputResults()),
                 flow.estimatedInputBytes());
-        Optional<Upstream> chosen = chooser.choose(pool.get(), versionRule(flow), excluded, prompt, now)
-                .or(() -> chooser.choose(pool.get(), rollouts.stableVersions(flow.pool()), excluded, prompt, now));
+        Optional<Upstream> chosen = chooser.choose(pool, versionRule(flow), excluded, prompt, now)
+                .or(() -> chooser.choose(pool, rollouts.stableVersions(flow.pool()), excluded, prompt, now));
         if (chosen.isEmpty()) {
-            waitForUpstream(flow, now);
+            waitForUpstream(flow, true, now);
             return;
         }
         admissionDeadlines.remove(flow.request().id());
-        send(flow, chosen.get(), prompt, now);
+        send(flow, chosen.get(), path, prompt, now);
     }
 
     private VersionRule versionRule(Flow flow) {
@@ -332,22 +341,29 @@
                 .map(Upstream::domain);
     }
 
-    private void waitForUpstream(Flow flow, Instant now) {
+    /**
+     * Lets a request wait for an upstream or for a path.
+     *
+     * @param reachable whether there is a path, so that only the limits of the upstreams stand against it
+     */
+    private void waitForUpstream(Flow flow, boolean reachable, Instant now) {
         Duration maxWait = flow.route().latencyTarget().dividedBy(ADMISSION_WAIT_DIVISOR);
         Instant until = admissionDeadlines.computeIfAbsent(flow.request().id(), id -> now.plus(maxWait));
-        boolean noneInTime = !chooser.announcementsAllow(flow.pool(), flow.triedUpstreams(), until, now);
-        if (noneInTime || !now.isBefore(until)) {
-            fail(
-                    flow,
-                    ResultCode.UPSTREAM_FULL,
-                    "all upstreams of pool \"" + flow.pool() + "\" are at their limits",
-                    now);
+        boolean noneInTime = reachable && !chooser.announcementsAllow(flow.pool(), flow.triedUpstreams(), until, now);
+        if (!noneInTime && now.isBefore(until)) {
+            return;
+        }
+        if (reachable) {
+            String message = "all upstreams of pool \"" + flow.pool() + "\" are at their limits";
+            fail(flow, ResultCode.UPSTREAM_FULL, message, now);
+            return;
         }
+        fail(flow, ResultCode.NO_UPSTREAM, "no path to pool \"" + flow.pool() + "\" was found in time", now);
     }
 
-    private void send(Flow flow, Upstream upstream, UpstreamChooser.Prompt prompt, Instant now) {
+    private void send(Flow flow, Upstream upstream, UpstreamPath path, UpstreamChooser.Prompt prompt, Instant now) {
         lastAttempt++;
-        flow.startAttempt(upstream, lastAttempt, now);
+        flow.startAttempt(upstream, path, lastAttempt, now);
         health.onStarted(upstream.id(), now);
         long keptTokens = chooser.cachedTokens(upstream, prompt, now);
         chooser.onSent(upstream.id(), prompt, now);
@@ -362,7 +378,8 @@
                 flow.lastEvent(),
                 stream,
                 retryableElsewhere(flow),
-                stream || flow.route().kind() == RouteKind.ONCE)));
+                flow.needsFreshConnection(),
+                path)));
         log.send(flow, upstream, health.inFlight(upstream.id()), keptTokens, now);
     }
 
@@ -389,6 +406,7 @@
         Listing upstream = flow.target().get().listing();
         started.notice().ifPresent(notice -> notices.onAnswer(upstream, notice, true, flow.sentAt(), now));
         health.onProgress(flow.target().get().id(), now);
+        outcomes.recordConnection(flow, upstream.id());
         engineTimes.onFirstEvent(flow.pool(), flow.request().promptTokens(), Duration.between(flow.sentAt(), now), now);
         inputs.onAnswerStarted(flow, now);
     }
@@ -414,14 +432,16 @@
             addSample(flow, true, now);
         }
         flow.clearTarget();
-        recordEnd(flow, upstream, ended, now);
+        outcomes.record(flow, upstream, ended, now);
+        log.end(flow, upstream, ended, Duration.between(flow.sentAt(), now));
         boolean successful = end instanceof SendEnd.Passed;
         ended.notice()
                 .ifPresent(notice -> notices.onAnswer(upstream.listing(), notice, successful, flow.sentAt(), now));
         switch (end) {
             case SendEnd.Passed ignored -> onPassed(flow, now);
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
-            case SendEnd.Unsent ignored -> retryElsewhere(flow, now);
+            case SendEnd.Unsent ignored -> retryUnsent(flow, now);
+            case SendEnd.NoPath ignored -> retryUnsent(flow, now);
             case SendEnd.NotRun notRun -> onNotRun(flow, notRun.status(), now);
             case SendEnd.Failed ignored -> onFailed(flow, now);
             case SendEnd.Broken broken -> onBroken(flow, broken, now);
@@ -440,26 +460,6 @@
                         upstream.listing(), flow.route().id().value(), failed, Duration.between(flow.sentAt(), now)));
     }
 
-    private void recordEnd(Flow flow, Upstream upstream, ServingEvent.SendEnded ended, Instant now) {
-        Duration took = Duration.between(flow.sentAt(), now);
-        Optional<PoolId> pool = Optional.of(flow.pool());
-        switch (ended.end()) {
-            case SendEnd.Passed ignored -> health.onEnded(upstream.id(), pool, took, true, now);
-            case SendEnd.Failed ignored -> health.onEnded(upstream.id(), pool, took, true, now);
-            case SendEnd.GivenUp ignored -> health.onCancelled(upstream.id());
-            case SendEnd.NotRun ignored -> health.onCancelled(upstream.id());
-            case SendEnd.Unsent ignored -> recordFault(upstream, took, now);
-            case SendEnd.Broken ignored -> recordFault(upstream, took, now);
-        }
-        log.end(flow, upstream, ended, took);
-    }
-
-    /** After a fault the upstream may have restarted and counts as cold until its directory entry says otherwise. */
-    private void recordFault(Upstream upstream, Duration took, Instant now) {
-        health.onEnded(upstream.id(), Optional.empty(), took, false, now);
-        directory.onConnectionFailure(upstream.id(), now.plus(ASSUMED_COLD_AFTER_FAULT));
-    }
-
     private void onNotRun(Flow flow, int status, Instant now) {
         if (status == STATUS_INPUTS_GONE && !flow.steps().isEmpty()) {
             inputs.onInputMissing(flow);
@@ -469,6 +469,15 @@
         retryElsewhere(flow, now);
     }
 
+    /** Retries a request of which no byte was sent, so that the retry counts as one for no upstream. */
+    private void retryUnsent(Flow flow, Instant now) {
+        if (flow.attempts() < MAX_ATTEMPTS) {
+            send(flow, now);
+            return;
+        }
+        fail(flow, ResultCode.UPSTREAM_FULL, "no upstream of pool \"" + flow.pool() + "\" was reached", now);
+    }
+
     /** Retries a request that was not executed at another upstream. */
     private void retryElsewhere(Flow flow, Instant now) {
         boolean retry = flow.attempts() < MAX_ATTEMPTS && budget(flow.pool()).tryAcquire(now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/SendEnd.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/SendEnd.java
@@ -11,6 +11,14 @@
      */
     record Unsent(String reason) implements SendEnd {}
 
+    /**
+     * No byte of the request was sent, as the peer on the path could not be reached or refused the tunnel. Says nothing
+     * about the upstream.
+     *
+     * @param reason the cause, for the log
+     */
+    record NoPath(String reason) implements SendEnd {}
+
     /**
      * The upstream reported that it has not executed the request and will not.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/SendOrder.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/SendOrder.java
@@ -21,6 +21,7 @@
  * @param stream whether the answer is a stream of events
  * @param retryableElsewhere whether another upstream may get the request if this one stops responding
  * @param freshConnection whether the request must not be sent on a connection that was used before
+ * @param path how the request gets to the upstream
  */
 public record SendOrder(
         RequestId request,
@@ -32,4 +33,5 @@
         Optional<String> resumesAfter,
         boolean stream,
         boolean retryableElsewhere,
-        boolean freshConnection) {}
+        boolean freshConnection,
+        UpstreamPath path) {}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -60,6 +60,7 @@
     private final FeedExchange feeds;
     private final RolloutExchange rollouts;
     private final NoticeExchange notices;
+    private final UpstreamPaths paths;
     private final StepOrders orders;
     private final RequestFlows flows;
     private final Shutdown shutdown;
@@ -79,8 +80,17 @@
         rollouts = new RolloutExchange(setup, directory, effects::add);
         notices = new NoticeExchange(directory, effects::add);
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
+        paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
         orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
-        flows = new RequestFlows(setup, directory, health, roster, orders, rollouts, notices, shutdown, effects::add);
+        flows = new RequestFlows(
+                setup,
+                new UpstreamState(directory, health, paths),
+                roster,
+                orders,
+                rollouts,
+                notices,
+                shutdown,
+                effects::add);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, currentTime));
     }
 
@@ -94,8 +104,14 @@
                 flows.onCallerDisconnected(disconnected.request(), now);
             case ServingEvent.AnswerStarted started -> flows.onAnswerStarted(started, now);
             case ServingEvent.SendEnded ended -> flows.onSendEnded(ended, now);
-            case ServingEvent.BatchCallEnded ended ->
+            case ServingEvent.BatchCallEnded ended -> {
+                orders.scheduler()
+                        .serverOf(ended.call())
+                        .ifPresent(server -> paths.onCallEnded(server, ended.end(), now));
                 orders.scheduler().onCallEnded(ended.call(), ended.end(), ended.notice(), now);
+            }
+            case ServingEvent.ConnectEnded ended -> paths.onConnectEnded(ended, now);
+            case ServingEvent.TunnelRequested requested -> paths.onTunnelRequested(requested, !shutdown.started(), now);
             case ServingEvent.ReleaseEnded ended ->
                 orders.scheduler().onReleaseEnded(ended.release(), ended.done(), ended.notice(), now);
             case ServingEvent.PeerMessageReceived received -> onPeerMessage(received.sender(), received.message(), now);
@@ -116,6 +132,10 @@
             case ServingEvent.DrainStarted started -> onDrainStarted(started.requestedAt(), now);
             case ServingEvent.PortsClosing ignored -> shutdown.closePorts();
         }
+        if (paths.pollChanged()) {
+            membership.onPathsChanged(paths, heartbeat(true, now), now);
+            housekeepingDue = now;
+        }
         feeds.setActive(FeedName.ROLLOUTS, rollouts.inProgress());
         feeds.read(now);
         reportReadiness();
@@ -148,6 +168,7 @@
             log(Decision.builder("upstream_lapsed").field("upstream", expired));
         }
         notices.onTick(now);
+        paths.onTick(now);
         membership.onTick(feeds.complete(FeedName.MEMBERSHIP), orders.partners(), reply -> heartbeat(reply, now), now);
         feeds.setReader(membership.readsStore(now));
         onRolloutTick(now);
@@ -209,7 +230,8 @@
                 feeds.positions(),
                 orders.scheduler().waits(now),
                 notices.rateLimits().reports(now),
-                directory.departures(now));
+                directory.departures(now),
+                paths.report());
     }
 
     private void onPeerMessage(NodeId sender, ServingMessage message, Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
@@ -94,6 +94,28 @@
      */
     record ReleaseResults(long release, Listing server, List<String> handles) implements ServingEffect {}
 
+    /**
+     * Open a connection to an upstream and close it again. Answered by {@link ServingEvent.ConnectEnded}.
+     *
+     * @param upstream the upstream
+     */
+    record ProbeUpstream(Listing upstream) implements ServingEffect {}
+
+    /**
+     * Connect to an upstream and forward the bytes of a peer. Answered by {@link ServingEvent.ConnectEnded}.
+     *
+     * @param number number of the peer's request
+     * @param upstream the upstream
+     */
+    record OpenTunnel(long number, Listing upstream) implements ServingEffect {}
+
+    /**
+     * Refuse a peer's request for a tunnel.
+     *
+     * @param number number of the request
+     */
+    record RefuseTunnel(long number) implements ServingEffect {}
+
     /**
      * Send a message to another node; it may be lost.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -91,6 +91,24 @@
         }
     }
 
+    /**
+     * An attempt to connect to an upstream has ended, for a {@link ServingEffect.ProbeUpstream} or a
+     * {@link ServingEffect.OpenTunnel}.
+     *
+     * @param upstream the upstream
+     * @param failure why the connection could not be opened; empty if it was opened
+     */
+    record ConnectEnded(VmId upstream, Optional<String> failure) implements ServingEvent {}
+
+    /**
+     * A peer has requested a tunnel to an upstream.
+     *
+     * @param number number of the request, unique within a run of the node
+     * @param upstream the upstream
+     * @param incarnation the incarnation of the upstream that the peer knows
+     */
+    record TunnelRequested(long number, VmId upstream, long incarnation) implements ServingEvent {}
+
     /**
      * A message from another node has been received.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingSetup.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingSetup.java
@@ -29,6 +29,7 @@
     private final double capacity;
     private final ColdBound coldBound;
     private final RolloutLimits rolloutLimits;
+    private final boolean acceptsTunnels;
 
     private static final ColdBound DEFAULT_COLD_BOUND = new ColdBound(1.5, 5);
 
@@ -55,6 +56,7 @@
         capacity = builder.capacity;
         coldBound = builder.coldBound;
         rolloutLimits = builder.rolloutLimits;
+        acceptsTunnels = builder.acceptsTunnels;
     }
 
     /** Creates a builder without seeds. */
@@ -112,6 +114,11 @@
         return rolloutLimits;
     }
 
+    /** Whether this node forwards connections of other nodes to upstreams. */
+    public boolean acceptsTunnels() {
+        return acceptsTunnels;
+    }
+
     /** Builds a {@link ServingSetup}. */
     public static final class Builder {
         private static final Duration DEFAULT_GRACE = Duration.ofSeconds(8);
@@ -126,6 +133,7 @@
         private double capacity = 1;
         private ColdBound coldBound = DEFAULT_COLD_BOUND;
         private RolloutLimits rolloutLimits = RolloutLimits.DEFAULT;
+        private boolean acceptsTunnels;
 
         private Builder(NodeId self, DomainId domain, RecordDecoder decoder) {
             this.self = self;
@@ -175,6 +183,12 @@
             return this;
         }
 
+        /** Sets whether the node forwards connections of other nodes to upstreams. */
+        public Builder acceptsTunnels(boolean accepts) {
+            acceptsTunnels = accepts;
+            return this;
+        }
+
         public ServingSetup build() {
             return new ServingSetup(this);
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -243,7 +243,7 @@
         for (PendingOrder entry : List.copyOf(pending.values())) {
             VmId currentScheduler = schedulerOf(entry.order.pool(), now);
             if (!currentScheduler.equals(entry.scheduler)
-                    && (!available(entry.scheduler, now) || returnedByScheduler(entry))) {
+                    && (!available(entry.scheduler, now) || returnedByScheduler(entry) || takenBack(entry, now))) {
                 entry.scheduler = currentScheduler;
                 entry.resendAt = now;
             }
@@ -272,6 +272,18 @@
         return entry.scheduler.equals(self.vm()) && scheduler.withdrawIfUnstarted(entry.order.id());
     }
 
+    /**
+     * Takes an order back from a node that has lost its path to the pool. Whatever that node has in progress cannot be
+     * completed there.
+     */
+    private boolean takenBack(PendingOrder entry, Instant now) {
+        if (!peers.reportsUnreachable(entry.scheduler, entry.order.pool())) {
+            return false;
+        }
+        withdraw(entry, now);
+        return true;
+    }
+
     /** The other nodes that have orders of this node. */
     Set<VmId> partners() {
         Set<VmId> partners = new HashSet<>();
--- a/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
@@ -15,6 +15,7 @@
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage.Heartbeat;
+import org.wagtaillug.message.ServingMessage.Paths;
 
 class PeersTest {
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
@@ -70,7 +71,8 @@
             nodes.get(sender).onDisconnected(receiver, now);
             return;
         }
-        Heartbeat heartbeat = new Heartbeat(reply, true, false, false, Map.of(), List.of(), List.of(), List.of());
+        Heartbeat heartbeat =
+                new Heartbeat(reply, true, false, false, Map.of(), List.of(), List.of(), List.of(), Paths.OWN);
         nodes.get(receiver).onHeartbeat(new NodeId(sender, 1), heartbeat, now);
         if (!reply && !nodes.get(receiver).watches(sender)) {
             deliver(receiver, sender, true);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/PartitionedFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/PartitionedFleet.java
@@ -34,6 +34,10 @@
     private final Map<VmId, Integer> examined = new HashMap<>();
     private final Map<RequestId, FirstTry> requests = new HashMap<>();
     private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>();
+    private final Map<Long, TunnelRequest> tunnels = new HashMap<>();
+    private long lastTunnel;
+
+    private record TunnelRequest(VmId node, SendOrder order) {}
 
     private static final class FirstTry {
         private final VmId node;
@@ -133,6 +137,8 @@
             for (int next = examined.getOrDefault(node, 0); next < effects.size(); next++) {
                 switch (effects.get(next)) {
                     case ServingEffect.Send send -> onSend(node, send.order());
+                    case ServingEffect.OpenTunnel open -> onTunnelOpened(node, open);
+                    case ServingEffect.RefuseTunnel refuse -> onTunnelRefused(refuse);
                     case ServingEffect.Finished finished -> onFinished(finished);
                     default -> {
                         // Only attempts and ends of requests matter here.
@@ -144,18 +150,51 @@
     }
 
     private void onSend(VmId node, SendOrder order) {
-        if (world.withoutUpstreams.containsKey(node)) {
-            ServingEvent failed =
-                    new ServingEvent.SendEnded(order.request(), order.attempt(), new SendEnd.Unsent("connect timeout"));
-            deliveries.add(new Delivery(world.now.plus(world.withoutUpstreams.get(node)), node, failed));
+        switch (order.path()) {
+            case UpstreamPath.Direct ignored -> connect(node, node, order);
+            case UpstreamPath.ThroughPeer through -> requestTunnel(node, through.peer(), order);
+        }
+    }
+
+    private void requestTunnel(VmId node, VmId peer, SendOrder order) {
+        lastTunnel++;
+        tunnels.put(lastTunnel, new TunnelRequest(node, order));
+        deliveries.add(new Delivery(
+                world.now,
+                peer,
+                new ServingEvent.TunnelRequested(
+                        lastTunnel, order.upstream().id(), order.upstream().incarnation())));
+    }
+
+    private void onTunnelOpened(VmId peer, ServingEffect.OpenTunnel open) {
+        TunnelRequest request = tunnels.remove(open.number());
+        world.connect(peer, open.upstream().id());
+        connect(peer, request.node(), request.order());
+    }
+
+    private void onTunnelRefused(ServingEffect.RefuseTunnel refuse) {
+        TunnelRequest request = tunnels.remove(refuse.number());
+        end(request.node(), request.order(), new SendEnd.NoPath("refused"), Duration.ZERO);
+    }
+
+    /** Lets a node connect to the upstream of an attempt, for itself or for the node that has requested a tunnel. */
+    private void connect(VmId connecting, VmId node, SendOrder order) {
+        if (world.withoutUpstreams.containsKey(connecting)) {
+            end(node, order, new SendEnd.Unsent("connect timeout"), world.withoutUpstreams.get(connecting));
             return;
         }
+        answer(node, order);
+    }
+
+    private void end(VmId node, SendOrder order, SendEnd end, Duration after) {
+        ServingEvent ended = new ServingEvent.SendEnded(order.request(), order.attempt(), end);
+        deliveries.add(new Delivery(world.now.plus(after), node, ended));
+    }
+
+    private void answer(VmId node, SendOrder order) {
         deliveries.add(new Delivery(
                 world.now.plus(FIRST_ANSWER), node, new ServingEvent.AnswerStarted(order.request(), order.attempt())));
-        deliveries.add(new Delivery(
-                world.now.plus(WHOLE_ANSWER),
-                node,
-                new ServingEvent.SendEnded(order.request(), order.attempt(), new SendEnd.Passed())));
+        end(node, order, new SendEnd.Passed(), WHOLE_ANSWER);
     }
 
     private void onFinished(ServingEffect.Finished finished) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -128,6 +128,7 @@
         ServingSetup setup = ServingSetup.builder(new NodeId(vm, incarnation), NORTH, decoder())
                 .seed(node(1))
                 .drainGrace(grace)
+                .acceptsTunnels(true)
                 .build();
         nodes.put(vm, new Serving(setup));
         effectsByNode.computeIfAbsent(vm, id -> new ArrayList<>());
@@ -327,6 +328,8 @@
             }
             case ServingEffect.WriteRecord write -> write(vm, write);
             case ServingEffect.CallBatch call -> callBatch(vm, call.call());
+            case ServingEffect.ProbeUpstream probe ->
+                connect(vm, probe.upstream().id());
             case ServingEffect.ReleaseResults release
             when withoutUpstreams.containsKey(vm) ->
                 schedule(
@@ -391,13 +394,22 @@
         }
     }
 
+    /** Lets a node connect to an upstream, which fails without a path. */
+    void connect(VmId vm, VmId upstream) {
+        Optional<Duration> failure = Optional.ofNullable(withoutUpstreams.get(vm));
+        schedule(
+                failure.orElse(MESSAGE_DELAY),
+                vm,
+                new ServingEvent.ConnectEnded(upstream, failure.map(after -> "connect timeout")));
+    }
+
     private void callBatch(VmId vm, BatchCall call) {
         if (withoutUpstreams.containsKey(vm)) {
             schedule(
                     withoutUpstreams.get(vm),
                     vm,
                     new ServingEvent.BatchCallEnded(
-                            call.number(), new BatchCallEnd.Broken("connect timeout"), Optional.empty()));
+                            call.number(), new BatchCallEnd.Unsent("connect timeout"), Optional.empty()));
             return;
         }
         batchCalls.add(call);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -44,20 +45,23 @@
 
     /** Sends a call; its end is reported by one event. */
     void call(BatchCall call) {
+        AtomicBoolean sent = new AtomicBoolean();
         request(call.upstream(), translation.callPath(), translation.encodeCall(call))
+                .onRequestBegin(ignored -> sent.set(true))
                 .timeout(call.timeout().toMillis(), TimeUnit.MILLISECONDS)
                 .send(new BufferingResponseListener(MAX_ANSWER_BYTES) {
                     @Override
                     public void onComplete(Result result) {
                         events.accept(new ServingEvent.BatchCallEnded(
-                                call.number(), end(call, result, getContent()), notice(result)));
+                                call.number(), end(call, sent.get(), result, getContent()), notice(result)));
                     }
                 });
     }
 
-    private BatchCallEnd end(BatchCall call, Result result, byte[] content) {
+    private BatchCallEnd end(BatchCall call, boolean sent, Result result, byte[] content) {
         if (result.isFailed()) {
-            return new BatchCallEnd.Broken(FailureText.of(result.getFailure()));
+            String reason = FailureText.of(result.getFailure());
+            return sent ? new BatchCallEnd.Broken(reason) : new BatchCallEnd.Unsent(reason);
         }
         byte[] body = content == null ? new byte[0] : content;
         return translation.decodeAnswer(
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -30,6 +30,8 @@
 import org.wagtaillug.daemon.control.ControlThread;
 import org.wagtaillug.daemon.control.MonotonicClock;
 import org.wagtaillug.daemon.translation.Translation;
+import org.wagtaillug.daemon.tunnel.PeerTunnels;
+import org.wagtaillug.daemon.tunnel.TunnelServer;
 import org.wagtaillug.drain.GracePeriod;
 import org.wagtaillug.feed.RecordDecoder;
 import org.wagtaillug.id.NodeId;
@@ -107,6 +109,7 @@
     private final Server server;
     private AsyncDecisionLog decisions;
     private PeerLink link;
+    private TunnelServer tunnels;
     private final CallerConnections connections = new CallerConnections();
     private final AtomicReference<Instant> shutdownRequestedAt = new AtomicReference<>();
     private ServerConnector callers;
@@ -137,6 +140,7 @@
                 .drainGrace(settings.shutdownGrace())
                 .features(settings.features())
                 .capacity(settings.capacity())
+                .acceptsTunnels(settings.listeners().tunnels().isPresent())
                 .rolloutLimits(settings.rolloutLimits())
                 .coldBound(new UpstreamLimits.ColdBound(
                         settings.coldBound().ratio(), settings.coldBound().fixed()));
@@ -169,15 +173,24 @@
         decisions = new AsyncDecisionLog();
         handler = new RoutedHandler(translation.callers(), exchanges, connections, control::submit, clock::now);
         link = openLink();
+        RoutedSettings.Address tunnelAddress = tunnelAddress();
+        tunnels = new TunnelServer(link.eventLoops(), tunnelAddress.host(), tunnelAddress.port(), control::submit);
         effects = new RoutedEffects(new RoutedEffects.Parts(
                 exchanges,
                 handler,
                 () -> connections.closeIdle(callers),
                 new UpstreamCaller(
-                        pooledClient, singleUseClient, translation.upstreams(), exchanges, control::submit, clock::now),
+                        pooledClient,
+                        singleUseClient,
+                        new PeerTunnels(singleUseClient, tunnelAddress.port()),
+                        translation.upstreams(),
+                        exchanges,
+                        control::submit,
+                        clock::now),
                 new BatchCaller(pooledClient, translation.stages(), control::submit),
                 translation,
                 link,
+                tunnels,
                 settings.listeners().link().port(),
                 settings.node().domain(),
                 control::submit,
@@ -199,6 +212,12 @@
         client.getProtocolHandlers().clear();
     }
 
+    /** Without a configured listener, no peer is told of the tunnels of this node. */
+    private RoutedSettings.Address tunnelAddress() {
+        String linkHost = settings.listeners().link().host();
+        return settings.listeners().tunnels().orElse(new RoutedSettings.Address(linkHost, 0));
+    }
+
     private PeerLink openLink() {
         return PeerLink.builder(self)
                 .bind(
@@ -302,6 +321,7 @@
         control.submit(new ServingEvent.PortsClosing());
         handler.refuseIncomplete();
         boolean answersWritten = connections.awaitWritten(millisUntil(stopAt));
+        tunnels.awaitClosed(millisUntil(stopAt));
         if (!drained || !answersWritten) {
             LOGGER.log(
                     Level.WARNING,
@@ -339,6 +359,7 @@
         }
         pooledClient.stop();
         singleUseClient.stop();
+        tunnels.close();
         link.close();
         control.close();
         decisions.close();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.wagtaillug.daemon.translation.Translation;
+import org.wagtaillug.daemon.tunnel.TunnelServer;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.link.PeerLink;
@@ -34,6 +35,7 @@
             BatchCaller batches,
             Translation translation,
             PeerLink link,
+            TunnelServer tunnels,
             int linkPort,
             DomainId domain,
             Consumer<ServingEvent> events,
@@ -68,6 +70,9 @@
             case ServingEffect.Finished finished -> finish(finished);
             case ServingEffect.CallBatch call -> parts.batches().call(call.call());
             case ServingEffect.ReleaseResults release -> parts.batches().release(release);
+            case ServingEffect.ProbeUpstream probe -> parts.tunnels().probe(probe.upstream());
+            case ServingEffect.OpenTunnel open -> parts.tunnels().open(open.number(), open.upstream());
+            case ServingEffect.RefuseTunnel refuse -> parts.tunnels().refuse(refuse.number());
             case ServingEffect.SendToPeer send -> parts.link().send(send.receiver(), send.message());
             case ServingEffect.PeersChanged changed -> connectPeers(changed);
             case ServingEffect.ReadFeed read ->
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -12,9 +12,11 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.wagtaillug.daemon.translation.UpstreamTranslation;
+import org.wagtaillug.daemon.tunnel.TunnelException;
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.serving.SendEnd;
 import org.wagtaillug.serving.SendOrder;
+import org.wagtaillug.serving.UpstreamPath;
 
 /**
  * Reads the answer to one attempt. A stream is forwarded event by event. Any other answer is forwarded only when it is
@@ -168,6 +170,10 @@
             return new SendEnd.GivenUp();
         }
         String reason = FailureText.of(cause);
+        if (!sent && order.path() instanceof UpstreamPath.ThroughPeer) {
+            boolean upstreamFailed = cause instanceof TunnelException tunnel && tunnel.upstreamUnreachable();
+            return upstreamFailed ? new SendEnd.Unsent(reason) : new SendEnd.NoPath(reason);
+        }
         return sent ? new SendEnd.Broken(reason, events.lastEventId()) : new SendEnd.Unsent(reason);
     }
 }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
@@ -14,11 +14,13 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpHeader;
 import org.wagtaillug.daemon.translation.UpstreamTranslation;
+import org.wagtaillug.daemon.tunnel.PeerTunnels;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.serving.SendEnd;
 import org.wagtaillug.serving.SendOrder;
 import org.wagtaillug.serving.ServingEvent;
+import org.wagtaillug.serving.UpstreamPath;
 
 /**
  * Sends requests to upstreams, forwards successful answers to callers and reports the end of each attempt once.
@@ -35,6 +37,7 @@
 
     private final HttpClient pooledClient;
     private final HttpClient singleUseClient;
+    private final PeerTunnels tunnels;
     private final UpstreamTranslation translation;
     private final RoutedExchanges exchanges;
     private final Consumer<ServingEvent> events;
@@ -67,16 +70,19 @@
      *
      * @param pooledClient reuses connections
      * @param singleUseClient closes each connection after its only request
+     * @param tunnels the tunnels of {@code singleUseClient}
      */
     UpstreamCaller(
             HttpClient pooledClient,
             HttpClient singleUseClient,
+            PeerTunnels tunnels,
             UpstreamTranslation translation,
             RoutedExchanges exchanges,
             Consumer<ServingEvent> events,
             Supplier<Instant> clock) {
         this.pooledClient = pooledClient;
         this.singleUseClient = singleUseClient;
+        this.tunnels = tunnels;
         this.translation = translation;
         this.exchanges = exchanges;
         this.events = events;
@@ -114,7 +120,8 @@
     }
 
     private Request request(SendOrder order, RoutedExchange exchange) {
-        HttpClient client = order.freshConnection() ? singleUseClient : pooledClient;
+        boolean direct = order.path() instanceof UpstreamPath.Direct;
+        HttpClient client = direct && !order.freshConnection() ? pooledClient : singleUseClient;
         Duration remaining = Duration.between(clock.get(), order.deadline());
         Request request = client.newRequest(
                         order.upstream().host(), order.upstream().port())
@@ -122,10 +129,13 @@
                 .path(exchange.path())
                 .headers(headers -> {
                     translation.write(ConnectionHeaders.forwardable(exchange.head()), order, remaining, headers);
-                    if (order.freshConnection()) {
+                    if (client == singleUseClient) {
                         headers.put(HttpHeader.CONNECTION, "close");
                     }
                 });
+        if (order.path() instanceof UpstreamPath.ThroughPeer through) {
+            tunnels.route(request, through.peer(), order.upstream());
+        }
         if (!order.retryableElsewhere()) {
             // An idle connection is no reason to cancel a request that cannot be retried elsewhere: its caller waits
             // until the deadline.
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamConnector.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamConnector.java
@@ -1,17 +1,12 @@
 package org.wagtaillug.daemon.routed;
 
-import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
-import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
-import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * Connects to upstreams and distinguishes a connection reset from an orderly end.
@@ -34,33 +29,6 @@
 
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        return new ResetAwareEndPoint((SocketChannel) channel, selector, key, getScheduler());
-    }
-
-    private static final class ResetAwareEndPoint extends SocketChannelEndPoint {
-        private ResetAwareEndPoint(
-                SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
-            super(channel, selector, key, scheduler);
-        }
-
-        @Override
-        public int fill(ByteBuffer buffer) throws IOException {
-            if (isInputShutdown()) {
-                return -1;
-            }
-            int position = BufferUtil.flipToFill(buffer);
-            int filled;
-            try {
-                filled = getChannel().read(buffer);
-            } finally {
-                BufferUtil.flipToFlush(buffer, position);
-            }
-            if (filled > 0) {
-                notIdle();
-            } else if (filled < 0) {
-                shutdownInput();
-            }
-            return filled;
-        }
+        return new UpstreamEndPoint((SocketChannel) channel, selector, key, getScheduler());
     }
 }
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerLink.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerLink.java
@@ -171,6 +171,11 @@
         return true;
     }
 
+    /** The event loops of the link, which other connections between nodes may share; closed with the link. */
+    public EventLoopGroup eventLoops() {
+        return eventLoops;
+    }
+
     /** The traffic so far. */
     public LinkCounters counters() {
         int connections = 0;
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -3,10 +3,12 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.batch.QueueDelayEstimate;
 import org.wagtaillug.batch.StepResult;
@@ -114,7 +116,8 @@
                         .setUpstream(report.upstream().value())
                         .setLatestStartMillis(report.latestStart())
                         .setAgeMillis(report.age().toMillis())));
-        return message.build();
+        heartbeat.paths().unreachable().forEach(pool -> message.addUnreachablePools(pool.value()));
+        return message.setAcceptsTunnels(heartbeat.paths().acceptsTunnels()).build();
     }
 
     private static RateLimitMessage encode(RateLimitReport report) {
@@ -160,7 +163,14 @@
                 positions,
                 waits,
                 rateLimits,
-                departures);
+                departures,
+                decodePaths(message));
+    }
+
+    private static ServingMessage.Paths decodePaths(HeartbeatMessage message) {
+        Set<PoolId> unreachable = new HashSet<>();
+        message.getUnreachablePoolsList().forEach(pool -> unreachable.add(new PoolId(pool)));
+        return new ServingMessage.Paths(unreachable, message.getAcceptsTunnels());
     }
 
     private static RolloutReportMessage encode(ServingMessage.RolloutReport report) {
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.wagtaillug.batch.BatchOutcome;
@@ -47,7 +48,8 @@
                         List.of(
                                 new RateLimitReport(new VmId("i-1"), OptionalDouble.of(0), Duration.ofMillis(40)),
                                 new RateLimitReport(new VmId("i-2"), OptionalDouble.empty(), Duration.ZERO)),
-                        List.of(new DepartureReport(new VmId("i-3"), 1_790_000_000_000L, Duration.ofSeconds(2)))),
+                        List.of(new DepartureReport(new VmId("i-3"), 1_790_000_000_000L, Duration.ofSeconds(2))),
+                        new ServingMessage.Paths(Set.of(new PoolId("encode"), new PoolId("model")), true)),
                 new ServingMessage.FeedUpdate(
                         FeedName.MEMBERSHIP,
                         4,
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettings.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettings.java
@@ -57,9 +57,12 @@
      * @param callers for requests
      * @param readiness for the balancer's readiness checks
      * @param administration for metrics
-     * @param link for the other nodes
+     * @param link for messages of the other nodes
+     * @param tunnels for connections that the other nodes cannot open to upstreams themselves; empty if this node
+     *     neither accepts nor uses tunnels
      */
-    public record Listeners(Address callers, Address readiness, Address administration, Address link) {}
+    public record Listeners(
+            Address callers, Address readiness, Address administration, Address link, Optional<Address> tunnels) {}
 
     /**
      * An IP address and a port.
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettingsReader.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettingsReader.java
@@ -35,7 +35,7 @@
                             "shutdown_grace",
                             "without"),
             "node", List.of("vm", "name", "domain"),
-            "listen", List.of("callers", "readiness", "administration", "link"),
+            "listen", List.of("callers", "readiness", "administration", "link", "tunnels"),
             "processor", List.of("share", "speed"),
             "cold_upstreams", List.of("ratio", "fixed"),
             "rollouts", List.of("ratio", "fixed"),
@@ -76,6 +76,8 @@
         Address readiness = address("listen.readiness");
         Address administration = address("listen.administration");
         Address link = address("listen.link");
+        Optional<Address> tunnels =
+                nodeAt("listen.tunnels").isMissingNode() ? Optional.empty() : Optional.of(address("listen.tunnels"));
         Address store = address("store");
         List<VmId> seeds = seeds();
         Duration window = duration("repeats.window");
@@ -98,7 +100,7 @@
         }
         return Optional.of(new RoutedSettings(
                 new RoutedSettings.Identity(new VmId(vm), name, new DomainId(domain)),
-                new RoutedSettings.Listeners(callers, readiness, administration, link),
+                new RoutedSettings.Listeners(callers, readiness, administration, link, tunnels),
                 store,
                 seeds,
                 new RoutedSettings.RetryLimits(window, ratio, fixed),
