--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -394,6 +394,7 @@
             case BatchCallEnd.Answered answered -> onAnswered(activeCall, answered.answers(), now);
             case BatchCallEnd.NotRun ignored -> {
                 activeCall.server().onCallRefused(now);
+                gate.onRejected(activeCall.server().listing(), now);
                 activeCall.items().forEach(this::requeue);
             }
             case BatchCallEnd.Broken broken -> onBroken(activeCall, broken.reason(), now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/CallGate.java
@@ -62,6 +62,9 @@
      */
     default void onAnswer(Listing server, UpstreamNotice notice, boolean successful, Instant sentAt, Instant now) {}
 
+    /** Called when a server has rejected a call for lack of room. */
+    default void onRejected(Listing server, Instant now) {}
+
     /**
      * Called when a call ends that the server did not refuse.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/Listing.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/Listing.java
@@ -17,6 +17,7 @@
  * @param leaving whether it is about to shut down and should get no new work
  * @param remainingColdTime how much longer it is cold and can take only little load
  * @param version the version of its software; empty if not registered
+ * @param slots the requests that it processes at the same time; 0 if not registered
  */
 public record Listing(
         VmId id,
@@ -27,4 +28,19 @@
         DomainId domain,
         boolean leaving,
         Duration remainingColdTime,
-        String version) {}
+        String version,
+        int slots) {
+    /** Creates an entry without slots. */
+    public Listing(
+            VmId id,
+            long incarnation,
+            PoolId pool,
+            String host,
+            int port,
+            DomainId domain,
+            boolean leaving,
+            Duration remainingColdTime,
+            String version) {
+        this(id, incarnation, pool, host, port, domain, leaving, remainingColdTime, version, 0);
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
@@ -9,8 +9,10 @@
  * @param rateLimit the requests per second that it accepts from all nodes together; empty if it names no limit
  * @param leaving whether it is about to shut down and should get no new work
  * @param pause how long this node should send it nothing after this refusal; zero if it names no time
+ * @param maxRejections the requests per second that each upstream of its pool can reject for lack of room without
+ *     failing; empty if the pool is not brittle
  */
-public record UpstreamNotice(OptionalDouble rateLimit, boolean leaving, Duration pause) {
+public record UpstreamNotice(OptionalDouble rateLimit, boolean leaving, Duration pause, OptionalDouble maxRejections) {
     /** The notice of an upstream that announces nothing. */
     public static final UpstreamNotice NONE = builder().build();
 
@@ -24,6 +26,7 @@
         private OptionalDouble rateLimit = OptionalDouble.empty();
         private boolean leaving;
         private Duration pause = Duration.ZERO;
+        private OptionalDouble maxRejections = OptionalDouble.empty();
 
         private Builder() {}
 
@@ -45,8 +48,14 @@
             return this;
         }
 
+        /** Sets the requests per second that an upstream of the brittle pool can reject without failing. */
+        public Builder maxRejections(double perSecond) {
+            maxRejections = OptionalDouble.of(perSecond);
+            return this;
+        }
+
         public UpstreamNotice build() {
-            return new UpstreamNotice(rateLimit, leaving, pause);
+            return new UpstreamNotice(rateLimit, leaving, pause, maxRejections);
         }
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Roster.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Roster.java
@@ -111,10 +111,14 @@
         if (joinedAt.isEmpty() || now.isBefore(joinedAt.get())) {
             return false;
         }
-        return members.size() <= senders || ranks.computeIfAbsent(upstream, this::rankFor) < senders;
+        return members.size() <= senders || rank(upstream) < senders;
     }
 
     /** The rank of this node for an upstream: the number of members before it. */
+    public int rank(VmId upstream) {
+        return ranks.computeIfAbsent(upstream, this::rankFor);
+    }
+
     private int rankFor(VmId upstream) {
         long own = rendezvous.score(upstream.value(), self.value());
         int before = 0;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
@@ -1,6 +1,7 @@
 package org.wagtaillug.routing;
 
 import java.time.Instant;
+import org.wagtaillug.admission.BrittlePools;
 import org.wagtaillug.admission.FleetRateLimiter;
 import org.wagtaillug.admission.LimitShare;
 import org.wagtaillug.admission.RequestedPauses;
@@ -26,6 +27,7 @@
     private final ColdBound coldBound;
     private final FleetRateLimiter rateLimiter;
     private final RequestedPauses pauses;
+    private final BrittlePools brittlePools;
 
     /**
      * The limit on requests per second from all nodes to a cold upstream.
@@ -41,12 +43,14 @@
             WarmupRateLimiter warmupLimiter,
             ColdBound coldBound,
             FleetRateLimiter rateLimiter,
-            RequestedPauses pauses) {
+            RequestedPauses pauses,
+            BrittlePools brittlePools) {
         this.roster = roster;
         this.warmupLimiter = warmupLimiter;
         this.coldBound = coldBound;
         this.rateLimiter = rateLimiter;
         this.pauses = pauses;
+        this.brittlePools = brittlePools;
     }
 
     /** Creates the same for upstreams that announce nothing. */
@@ -56,7 +60,8 @@
                 warmupLimiter,
                 coldBound,
                 new FleetRateLimiter(new AnnouncedRateLimits(), new LimitShare.AmongNodes(roster)),
-                new RequestedPauses());
+                new RequestedPauses(),
+                new BrittlePools(roster));
     }
 
     /** Records a request that is sent to an upstream. */
@@ -75,7 +80,7 @@
         if (inFlight >= Math.max(1, pool.connections() / roster.sharingNodes())) {
             return false;
         }
-        if (!announcementsAllow(upstream, now, now)) {
+        if (!announcementsAllow(upstream, now, now) || !brittlePools.allows(upstream, inFlight, now)) {
             return false;
         }
         if (pool.coldPerSecond() <= 0 || !upstream.cold(now)) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeCallGate.java
@@ -64,6 +64,11 @@
         notices.onAnswer(server, notice, successful, sentAt, now);
     }
 
+    @Override
+    public void onRejected(Listing server, Instant now) {
+        notices.onRejected(server, now);
+    }
+
     @Override
     public void onCallEnded(Listing server, boolean failed, Duration took, Duration expected) {
         delegate.onCallEnded(server, failed, took, expected);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.OptionalDouble;
 import java.util.function.Consumer;
+import org.wagtaillug.admission.BrittlePools;
 import org.wagtaillug.admission.FleetRateLimiter;
 import org.wagtaillug.admission.LimitShare;
 import org.wagtaillug.admission.RequestedPauses;
@@ -27,9 +28,11 @@
     private final Consumer<ServingEffect> effects;
     private final AnnouncedRateLimits rateLimits = new AnnouncedRateLimits();
     private final RequestedPauses pauses = new RequestedPauses();
+    private final BrittlePools brittlePools;
 
-    NoticeExchange(UpstreamDirectory directory, Consumer<ServingEffect> effects) {
+    NoticeExchange(UpstreamDirectory directory, Roster roster, Consumer<ServingEffect> effects) {
         this.directory = directory;
+        this.brittlePools = new BrittlePools(roster);
         this.effects = effects;
     }
 
@@ -48,7 +51,8 @@
                 new WarmupRateLimiter(),
                 coldBound,
                 new FleetRateLimiter(rateLimits, new LimitShare.AmongNodes(roster)),
-                pauses);
+                pauses,
+                brittlePools);
     }
 
     /**
@@ -67,6 +71,12 @@
             long latestStart = Math.max(upstream.incarnation(), sentAt.toEpochMilli());
             logDeparture(id, latestStart, directory.onDeparture(id, latestStart, now), "answer");
         }
+        if (brittlePools.onAnswer(upstream.pool(), notice.maxRejections(), successful, sentAt, now)) {
+            log(Decision.builder("pool_brittle")
+                    .field("pool", upstream.pool())
+                    .field("upstream", id)
+                    .field("max_rejections", text(notice.maxRejections())));
+        }
         if (!notice.pause().isZero() && pauses.onRefused(id, notice.pause(), now)) {
             log(Decision.builder("upstream_pause")
                     .field("upstream", id)
@@ -74,6 +84,13 @@
         }
     }
 
+    /** Processes a rejection for lack of room; a brittle upstream gets nothing for some time. */
+    void onRejected(Listing upstream, Instant now) {
+        if (brittlePools.brittle(upstream.pool())) {
+            pauses.onRefused(upstream.id(), BrittlePools.REJECTION_PAUSE, now);
+        }
+    }
+
     private void logDeparture(VmId upstream, long latestStart, UpstreamDirectory.Change change, Object source) {
         if (change != UpstreamDirectory.Change.NONE) {
             log(Decision.builder("upstream")
@@ -113,9 +130,11 @@
     }
 
     private static Decision.Builder rateLimit(VmId upstream, OptionalDouble limit) {
-        return Decision.builder("rate_limit")
-                .field("upstream", upstream)
-                .field("requests_per_second", limit.isPresent() ? limit.getAsDouble() : "none");
+        return Decision.builder("rate_limit").field("upstream", upstream).field("requests_per_second", text(limit));
+    }
+
+    private static String text(OptionalDouble limit) {
+        return limit.isPresent() ? Double.toString(limit.getAsDouble()) : "none";
     }
 
     private void log(Decision.Builder decision) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -442,7 +442,10 @@
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
             case SendEnd.Unsent ignored -> retryUnsent(flow, now);
             case SendEnd.NoPath ignored -> retryUnsent(flow, now);
-            case SendEnd.NotRun notRun -> onNotRun(flow, notRun.status(), now);
+            case SendEnd.NotRun notRun -> {
+                notices.onRejected(upstream.listing(), now);
+                onNotRun(flow, notRun.status(), now);
+            }
             case SendEnd.Failed ignored -> onFailed(flow, now);
             case SendEnd.Broken broken -> onBroken(flow, broken, now);
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -78,7 +78,7 @@
         membership = new PeerMembership(setup, roster, peers, effects::add, () -> !shutdown.started());
         feeds = new FeedExchange(peers, effects::add, this::onFeedRecord);
         rollouts = new RolloutExchange(setup, directory, effects::add);
-        notices = new NoticeExchange(directory, effects::add);
+        notices = new NoticeExchange(directory, roster, effects::add);
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
         orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -194,6 +194,11 @@
         write(FeedName.DIRECTORY, id, new DirectoryItem.Listed(listing));
     }
 
+    void register(String id, PoolId pool, int slots) {
+        Listing listing = new Listing(new VmId(id), 1, pool, "10.0.0.1", 80, NORTH, false, Duration.ZERO, "", slots);
+        write(FeedName.DIRECTORY, id, new DirectoryItem.Listed(listing));
+    }
+
     void register(String id, PoolId pool, String version) {
         Listing listing = new Listing(new VmId(id), 1, pool, "10.0.0.1", 80, NORTH, false, Duration.ZERO, version);
         write(FeedName.DIRECTORY, id, new DirectoryItem.Listed(listing));
