--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -174,7 +174,8 @@
 
     /** Writes to the store. */
     void write(FeedName feed, String key, Object content) {
-        String name = feed + "/" + store.get(feed).size();
+        sequence++;
+        String name = feed + "/" + sequence;
         decodedRecords.put(name, content);
         Optional<byte[]> value = Optional.of(name.getBytes(StandardCharsets.UTF_8));
         store.get(feed).add(new FeedRecord(key, store.get(feed).size(), value));
@@ -185,6 +186,19 @@
         store.get(feed).add(new FeedRecord(key, store.get(feed).size(), Optional.empty()));
     }
 
+    /** The number of records of each feed, as a copy of the store. */
+    Map<FeedName, Integer> copyStore() {
+        Map<FeedName, Integer> copy = new HashMap<>();
+        store.forEach((feed, records) -> copy.put(feed, records.size()));
+        return copy;
+    }
+
+    /** Replaces the store by an earlier copy: later records are gone, and their offsets are given out again. */
+    void restoreStore(Map<FeedName, Integer> copy) {
+        copy.forEach((feed, size) ->
+                store.get(feed).subList(size, store.get(feed).size()).clear());
+    }
+
     void publish(ServingConfiguration configuration) {
         write(FeedName.CONFIGURATION, "config", new ConfigurationItem.Published(configuration));
     }
@@ -390,6 +404,8 @@
                         vm,
                         new ServingEvent.FeedListed(read.feed(), List.copyOf(newest.values()), false, all.size()));
             }
+            case FeedReader.Read.From from
+            when from.from() > all.size() -> schedule(MESSAGE_DELAY, vm, new ServingEvent.FeedTruncated(read.feed()));
             case FeedReader.Read.From from -> {
                 List<FeedRecord> rest = all.subList((int) Math.min(from.from(), all.size()), all.size());
                 Duration wait = rest.isEmpty() ? from.longestWait().dividedBy(10) : Duration.ZERO;
