--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -23,13 +23,20 @@
      */
     private static final Duration OUTAGE_RECOVERY = Duration.ofSeconds(2);
 
+    /** How long a removed entry is remembered; a copy of the store is some seconds old. */
+    private static final Duration REMOVAL_MEMORY = Duration.ofMinutes(1);
+
     private final Map<VmId, Upstream> upstreams = new HashMap<>();
     private final Map<PoolId, TreeMap<VmId, Upstream>> byPool = new HashMap<>();
     private final Map<VmId, Instant> pendingRemovals = new HashMap<>();
     private final Map<VmId, Instant> listedColdUntil = new HashMap<>();
     private final Set<DomainId> domainsOutOfService = new HashSet<>();
+    private final Map<VmId, Removal> removals = new HashMap<>();
     private final Departures departures = new Departures();
 
+    /** The last entry of a removed upstream. */
+    private record Removal(long incarnation, Instant at) {}
+
     /** The effect of an update on the directory. */
     public enum Change {
         /** No effect on requests. */
@@ -42,6 +49,30 @@
         LEFT
     }
 
+    /**
+     * Whether an entry is older than what is known, as the store has come back from an earlier copy: an earlier run of the
+     * upstream, a run that has announced its leaving since, or one whose entry was removed.
+     *
+     * @param storeUnstable whether the store was unreachable, or came back from a copy, shortly before
+     */
+    public boolean obsolete(Listing listing, boolean storeUnstable, Instant now) {
+        Upstream known = upstreams.get(listing.id());
+        if (known != null
+                && listing.incarnation() != 0
+                && listing.incarnation() < known.listing().incarnation()) {
+            return true;
+        }
+        if (!storeUnstable) {
+            return false;
+        }
+        if (known != null) {
+            boolean sameRun = listing.incarnation() == known.listing().incarnation();
+            return sameRun && known.listing().leaving() && !listing.leaving();
+        }
+        Removal removal = removals.get(listing.id());
+        return removal != null && removal.incarnation() == listing.incarnation();
+    }
+
     /** Adds or updates the entry of an upstream. */
     public Change onListing(Listing listing, Instant now) {
         Upstream known = upstreams.get(listing.id());
@@ -77,15 +108,16 @@
             pendingRemovals.putIfAbsent(id, now.plus(OUTAGE_RECOVERY));
             return Change.NONE;
         }
-        remove(id);
+        remove(id, now);
         return Change.LEFT;
     }
 
-    private void remove(VmId id) {
+    private void remove(VmId id, Instant now) {
         Upstream known = upstreams.remove(id);
         pendingRemovals.remove(id);
         listedColdUntil.remove(id);
         if (known != null) {
+            removals.put(id, new Removal(known.listing().incarnation(), now));
             byPool.get(known.pool()).remove(id);
         }
     }
@@ -93,10 +125,11 @@
     /** Removes the entries that have not reappeared after an outage; returns their ids. */
     public List<VmId> onTick(Instant now) {
         departures.expire(upstreams::containsKey, now);
+        removals.values().removeIf(removal -> now.isAfter(removal.at().plus(REMOVAL_MEMORY)));
         List<VmId> dropped = new ArrayList<>();
         for (Map.Entry<VmId, Instant> entry : Map.copyOf(pendingRemovals).entrySet()) {
             if (!now.isBefore(entry.getValue())) {
-                remove(entry.getKey());
+                remove(entry.getKey(), now);
                 dropped.add(entry.getKey());
             }
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/Feed.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/Feed.java
@@ -9,6 +9,9 @@
 /**
  * The latest record of each key of one feed.
  *
+ * <p>Positions are those of {@link FeedPosition}: the records of a store that has come back from an earlier copy are later
+ * than all that were read before.
+ *
  * <p>Responses may arrive out of order, and a store that lags behind may return stale records. Applying them
  * would restore a route or a key that an operator has removed, and requests would be handled by an older version than
  * earlier ones. A record is applied only if its offset is higher than that of the current record of its key, and the
@@ -16,9 +19,24 @@
  */
 public final class Feed {
     private final Map<String, FeedRecord> latest = new HashMap<>();
+    private final boolean removesUnlistedAfterRestore;
     private long next;
     private boolean complete;
 
+    /** Creates a feed in which keys that a restored store does not list count as removed. */
+    public Feed() {
+        this(true);
+    }
+
+    /** Creates an empty feed. */
+    public Feed(FeedName name) {
+        this(name.removesUnlistedAfterRestore());
+    }
+
+    private Feed(boolean removesUnlistedAfterRestore) {
+        this.removesUnlistedAfterRestore = removesUnlistedAfterRestore;
+    }
+
     /**
      * Applies the result of a read.
      *
@@ -34,7 +52,9 @@
             }
         }
         if (batch.complete() && batch.next() >= next) {
-            changed.addAll(removeUnlisted(batch));
+            if (removesUnlistedAfterRestore || !restoredBy(batch.next())) {
+                changed.addAll(removeUnlisted(batch));
+            }
             complete = true;
         }
         next = Math.max(next, batch.next());
@@ -42,6 +62,11 @@
         return changed;
     }
 
+    /** Whether a position shows that the store has come back from an earlier copy since the last read. */
+    public boolean restoredBy(long position) {
+        return complete && FeedPosition.era(position) > FeedPosition.era(next);
+    }
+
     /** Removes keys that are missing from a complete listing: the records that removed them are no longer retained. */
     private List<FeedRecord> removeUnlisted(FeedBatch batch) {
         Map<String, FeedRecord> listed = new HashMap<>();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
@@ -10,7 +10,12 @@
      * Written by the upstreams. Dozens of them write about once a second, so a long poll would return at once each
      * time; this feed is polled at intervals instead.
      */
-    DIRECTORY(Duration.ZERO, Duration.ofMillis(700)),
+    DIRECTORY(Duration.ZERO, Duration.ofMillis(700)) {
+        @Override
+        boolean removesUnlistedAfterRestore() {
+            return true;
+        }
+    },
     /**
      * Written by the nodes, which register themselves. When a fleet starts it writes dozens of records at once; the
      * pause between reads batches them.
@@ -35,6 +40,14 @@
         return wait;
     }
 
+    /**
+     * Whether a key that a restored store does not list counts as removed. Operators and nodes write what the store has
+     * lost again, and removals as well; upstreams do so only while they live.
+     */
+    boolean removesUnlistedAfterRestore() {
+        return false;
+    }
+
     /** The pause between a response and the next read. */
     public Duration pause() {
         return pause;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedReader.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedReader.java
@@ -77,6 +77,12 @@
     /** A page of the listing was received; returns the records that were applied. */
     public List<FeedRecord> onListed(List<FeedRecord> records, boolean more, long end, Instant now) {
         answered(now);
+        if (listingPosition >= 0 && FeedPosition.era(end) != FeedPosition.era(listingPosition)) {
+            // The pages are those of two histories.
+            resetListing(true);
+            due = now;
+            return List.of();
+        }
         listed.addAll(records);
         // Records written while the pages are read may be in none of them, so reading continues from the position of
         // the first page.
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Registration.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Registration.java
@@ -49,6 +49,11 @@
         }
     }
 
+    /** The store may have lost this node's entry, which is written again. */
+    public void onStoreRestored(Instant now) {
+        due = now;
+    }
+
     /** A write of this node's own entry has completed; on success, its effect is observed when the entry is read. */
     public void onWritten(boolean succeeded, Instant now) {
         if (!succeeded) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/rollout/RolloutStatus.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/rollout/RolloutStatus.java
@@ -58,4 +58,10 @@
         return new RolloutStatus(
                 order, version, finalState, finalState == State.COMPLETED ? 1 : 0, sinceOrder, replaced);
     }
+
+    /** Whether this is an earlier status of the same order than another one. */
+    public boolean earlierThan(RolloutStatus other) {
+        boolean ended = other.state().isFinal() && !state.isFinal();
+        return order == other.order() && (ended || elapsed.compareTo(other.elapsed()) < 0);
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/rollout/Rollouts.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/rollout/Rollouts.java
@@ -52,6 +52,20 @@
         return Optional.ofNullable(statuses.get(order.pool())).filter(status -> status.order() == order.id());
     }
 
+    /** The newest status of each pool. */
+    public Map<PoolId, RolloutStatus> statuses() {
+        return Map.copyOf(statuses);
+    }
+
+    /** Whether an order repeats the newest one for its pool, which was not withdrawn. */
+    public boolean repeats(RolloutOrder order) {
+        RolloutOrder known = orders.get(order.pool());
+        return known != null
+                && !withdrawn.contains(order.pool())
+                && known.version().equals(order.version())
+                && known.within().equals(order.within());
+    }
+
     /** The orders that are neither completed, reverted nor withdrawn. */
     public List<RolloutOrder> open() {
         List<RolloutOrder> open = new ArrayList<>();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -9,10 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.wagtaillug.feed.Feed;
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedPosition;
 import org.wagtaillug.feed.FeedReader;
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.id.VmId;
@@ -43,6 +45,8 @@
     private final Map<FeedName, FeedReader> readers = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Instant> catchUpDue = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Boolean> reachable = new EnumMap<>(FeedName.class);
+    private final Map<FeedName, Instant> restoredAt = new EnumMap<>(FeedName.class);
+    private BiConsumer<FeedName, Instant> restored = (name, at) -> {};
     private final Set<FeedName> active = EnumSet.complementOf(EnumSet.of(FeedName.ROLLOUTS));
     private boolean reader = true;
 
@@ -62,13 +66,18 @@
         this.effects = effects;
         this.handler = handler;
         for (FeedName name : FeedName.values()) {
-            Feed feed = new Feed();
+            Feed feed = new Feed(name);
             feeds.put(name, feed);
             readers.put(name, new FeedReader(name, feed));
             catchUpDue.put(name, Instant.EPOCH);
         }
     }
 
+    /** Sets the receiver of returns of the store from an earlier copy, by feed and time. */
+    void onRestored(BiConsumer<FeedName, Instant> receiver) {
+        restored = receiver;
+    }
+
     /** Sets whether this node reads the store on behalf of others. */
     void setReader(boolean reads) {
         reader = reads;
@@ -130,19 +139,31 @@
     }
 
     void onListed(ServingEvent.FeedListed listed, Instant now) {
-        onReadSucceeded(listed.feed());
-        apply(
-                listed.feed(),
-                readers.get(listed.feed()).onListed(listed.records(), listed.more(), listed.end(), now),
-                recentlyFailing(listed.feed(), now),
-                now);
+        FeedName name = listed.feed();
+        onReadSucceeded(name);
+        boolean restoredNow = feeds.get(name).restoredBy(listed.end());
+        long from = feeds.get(name).next();
+        List<FeedRecord> listedRecords = readers.get(name).onListed(listed.records(), listed.more(), listed.end(), now);
+        if (restoredNow && feeds.get(name).next() != from) {
+            noteRestored(name, now);
+        }
+        apply(name, listedRecords, unstable(name, now), now);
+    }
+
+    private void noteRestored(FeedName name, Instant now) {
+        restoredAt.put(name, now);
+        log(Decision.builder("store_restored")
+                .field("feed", name)
+                .field("era", FeedPosition.era(feeds.get(name).next()))
+                .field("offset", FeedPosition.offset(feeds.get(name).next())));
+        restored.accept(name, now);
     }
 
     void onRead(ServingEvent.FeedRead read, Instant now) {
         FeedName name = read.feed();
         onReadSucceeded(name);
         long from = feeds.get(name).next();
-        boolean recentlyFailing = recentlyFailing(name, now);
+        boolean recentlyFailing = unstable(name, now);
         List<FeedRecord> changes = apply(name, readers.get(name).onRecords(read.batch(), now), recentlyFailing, now);
         if (reader && feeds.get(name).complete()) {
             relay(
@@ -194,16 +215,22 @@
             return;
         }
         readers.get(update.feed()).onRelayed(now);
-        boolean recentlyFailing = update.storeUnstable() || recentlyFailing(update.feed(), now);
-        apply(update.feed(), feed.apply(update.batch()), recentlyFailing, now);
+        boolean storeUnstable = update.storeUnstable() || unstable(update.feed(), now);
+        apply(update.feed(), applyRelayed(update.feed(), update.batch(), now), storeUnstable, now);
     }
 
     void onFeedCatchUp(ServingMessage.FeedCatchUp catchUp, Instant now) {
-        apply(
-                catchUp.feed(),
-                feeds.get(catchUp.feed()).apply(catchUp.batch()),
-                recentlyFailing(catchUp.feed(), now),
-                now);
+        List<FeedRecord> changed = applyRelayed(catchUp.feed(), catchUp.batch(), now);
+        apply(catchUp.feed(), changed, unstable(catchUp.feed(), now), now);
+    }
+
+    private List<FeedRecord> applyRelayed(FeedName name, FeedBatch batch, Instant now) {
+        boolean restoredNow = feeds.get(name).restoredBy(batch.next());
+        List<FeedRecord> changed = feeds.get(name).apply(batch);
+        if (restoredNow) {
+            noteRestored(name, now);
+        }
+        return changed;
     }
 
     void onFeedRequest(VmId sender, ServingMessage.FeedRequest request) {
@@ -214,8 +241,10 @@
         }
     }
 
-    private boolean recentlyFailing(FeedName name, Instant now) {
-        return readers.get(name).failedWithin(now, OUTAGE_HOLD);
+    /** Whether the store was unreachable, or came back from an earlier copy, shortly before. */
+    private boolean unstable(FeedName name, Instant now) {
+        Instant restoredLast = restoredAt.getOrDefault(name, Instant.EPOCH);
+        return readers.get(name).failedWithin(now, OUTAGE_HOLD) || now.isBefore(restoredLast.plus(OUTAGE_HOLD));
     }
 
     private List<FeedRecord> apply(FeedName name, List<FeedRecord> changed, boolean recentlyFailing, Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -232,6 +232,11 @@
         return restarted;
     }
 
+    /** Processes the return of the store from an earlier copy, which may lack this node's registration. */
+    void onStoreRestored(Instant now) {
+        registration.onStoreRestored(now);
+    }
+
     void onRecordWritten(ServingEvent.RecordWritten written, Instant now) {
         if (written.key().equals(self.vm().value())) {
             registration.onWritten(written.done(), now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
@@ -29,6 +29,7 @@
 import org.wagtaillug.rollout.RolloutCoordinator;
 import org.wagtaillug.rollout.RolloutOrder;
 import org.wagtaillug.rollout.RolloutSample;
+import org.wagtaillug.rollout.RolloutStatus;
 import org.wagtaillug.rollout.Rollouts;
 
 /**
@@ -57,6 +58,7 @@
     private final RolloutCoordinator.Versions versions = new DirectoryVersions();
     private final Map<Long, Samples> samples = new HashMap<>();
     private final RolloutCallGate callGate;
+    private final LostStatuses lostStatuses = new LostStatuses();
     private boolean fresh;
 
     private static final class Samples {
@@ -95,7 +97,16 @@
         this.callGate = new RolloutCallGate(rollouts, directory, this::sample, () -> fresh);
     }
 
-    void onOrder(RolloutOrder order, Instant now) {
+    /**
+     * Processes an order.
+     *
+     * @param storeUnstable whether the store was unreachable, or came back from an earlier copy, shortly before
+     */
+    void onOrder(RolloutOrder order, boolean storeUnstable, Instant now) {
+        if (storeUnstable && rollouts.repeats(order)) {
+            // The order was written again, or listed again at a position of the new era.
+            return;
+        }
         rollouts.onOrder(order);
         coordinator.onOrder(order, now);
         samples.keySet()
@@ -116,6 +127,14 @@
     void onRecord(FeedRecord record, Instant now) {
         switch (setup.decoder().rollout(record)) {
             case RolloutItem.Reported reported -> {
+                RolloutStatus known = rollouts.statuses().get(reported.pool());
+                if (known != null && reported.status().earlierThan(known)) {
+                    log(Decision.builder("rollout_status_older")
+                            .field("pool", reported.pool())
+                            .field("offset", record.offset()));
+                    return;
+                }
+                lostStatuses.onRead(reported.pool());
                 rollouts.onStatus(reported.pool(), reported.status());
                 coordinator.onStatus(reported.status(), now);
                 log(Decision.builder("rollout_status")
@@ -134,9 +153,14 @@
         }
     }
 
-    /** Whether a rollout is in progress, so that its status must be known. */
+    /** Processes the return of the store from an earlier copy. */
+    void onStoreRestored(Instant now) {
+        lostStatuses.onRestored(rollouts.statuses(), now);
+    }
+
+    /** Whether a rollout is in progress, or its status may have to be written again, so that it must be known. */
     boolean inProgress() {
-        return !rollouts.open().isEmpty();
+        return !rollouts.open().isEmpty() || !lostStatuses.isEmpty();
     }
 
     /**
@@ -196,11 +220,13 @@
      */
     void onTick(VmId holder, boolean statusFresh, long position, Instant now) {
         fresh = statusFresh;
+        lostStatuses.onTick(now);
         boolean coordinates = holder.equals(setup.self().vm());
         for (RolloutOrder order : rollouts.open()) {
             report(order, holder, coordinates, now);
         }
         if (coordinates && statusFresh) {
+            lostStatuses.due(now).ifPresent(lost -> write(lost.getKey(), lost.getValue(), position));
             coordinator.due(versions, now).forEach(write -> write(write, position));
         }
     }
@@ -232,10 +258,14 @@
                 .field("answers", write.comparison().candidates())
                 .field("bad", write.comparison().badCandidates())
                 .field("worse", write.comparison().worse()));
+        write(write.order().pool(), write.status(), position);
+    }
+
+    private void write(PoolId pool, RolloutStatus status, long position) {
         effects.accept(new ServingEffect.WriteRecord(
                 FeedName.ROLLOUTS,
-                setup.decoder().rolloutKey(write.order().pool()),
-                Optional.of(setup.decoder().encode(write.status())),
+                setup.decoder().rolloutKey(pool),
+                Optional.of(setup.decoder().encode(status)),
                 OptionalLong.of(position)));
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -77,6 +77,7 @@
         shutdown = new Shutdown(setup.drainGrace());
         membership = new PeerMembership(setup, roster, peers, effects::add, () -> !shutdown.started());
         feeds = new FeedExchange(peers, effects::add, this::onFeedRecord);
+        feeds.onRestored(this::onStoreRestored);
         rollouts = new RolloutExchange(setup, directory, effects::add);
         notices = new NoticeExchange(directory, roster, effects::add);
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
@@ -267,7 +268,7 @@
     private boolean onFeedRecord(FeedName name, FeedRecord record, boolean storeUnstable, Instant now) {
         return switch (name) {
             case CONFIGURATION -> {
-                onConfigurationRecord(record, now);
+                onConfigurationRecord(record, storeUnstable, now);
                 yield true;
             }
             case DIRECTORY -> onDirectoryRecord(record, storeUnstable, now);
@@ -282,7 +283,17 @@
         };
     }
 
-    private void onConfigurationRecord(FeedRecord record, Instant now) {
+    private void onStoreRestored(FeedName name, Instant now) {
+        switch (name) {
+            case MEMBERSHIP -> membership.onStoreRestored(now);
+            case CONFIGURATION -> rollouts.onStoreRestored(now);
+            case DIRECTORY, ROLLOUTS -> {
+                // Upstreams write their entries again; statuses are written with those of the configuration.
+            }
+        }
+    }
+
+    private void onConfigurationRecord(FeedRecord record, boolean storeUnstable, Instant now) {
         switch (setup.decoder().configuration(record)) {
             case ConfigurationItem.Published published -> publish(published.configuration(), record);
             case ConfigurationItem.DomainService service -> {
@@ -292,7 +303,7 @@
                         .field("out", service.out())
                         .field("offset", record.offset()));
             }
-            case ConfigurationItem.RolloutOrdered ordered -> rollouts.onOrder(ordered.order(), now);
+            case ConfigurationItem.RolloutOrdered ordered -> rollouts.onOrder(ordered.order(), storeUnstable, now);
             case ConfigurationItem.RolloutWithdrawn withdrawn -> rollouts.onWithdrawn(withdrawn.pool(), record);
             case ConfigurationItem.Ignored ignored ->
                 log(Decision.builder("record_ignored")
@@ -325,6 +336,12 @@
         switch (setup.decoder().directory(record)) {
             case DirectoryItem.Listed listed -> {
                 Listing listing = listed.listing();
+                if (directory.obsolete(listing, storeUnstable, now)) {
+                    log(Decision.builder("upstream_older")
+                            .field("upstream", listing.id())
+                            .field("offset", record.offset()));
+                    return true;
+                }
                 boolean known = directory
                         .find(listing.id())
                         .map(entry -> entry.listing().equals(listing))
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RestoredStoreTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RestoredStoreTest.java
@@ -22,6 +22,7 @@
 import org.wagtaillug.id.CustomerId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.rollout.RolloutStatus;
 import org.wagtaillug.route.Customer;
 import org.wagtaillug.route.ServingConfiguration;
 
@@ -203,6 +204,27 @@
         assertThat(usedUpstreams()).contains(new VmId("orders-3"));
     }
 
+    /** Guards against a rollout that starts anew, or whose status is lost, when the copy lacks its latest status. */
+    @Test
+    void aRolloutGoesOnWithItsStatusWrittenAgain() {
+        start(3);
+        for (int number = 3; number <= 4; number++) {
+            world.register("orders-" + number, ORDERS, "v2");
+        }
+        world.run(IN_FORCE);
+        world.orderRollout(ORDERS, "v2", Duration.ofSeconds(60));
+        world.run(Duration.ofSeconds(1));
+        Map<FeedName, Integer> copy = world.copyStore();
+        world.run(Duration.ofSeconds(3));
+        RolloutStatus before = world.rolloutStatus().orElseThrow();
+        copy.put(FeedName.ROLLOUTS, 0);
+        restore(copy);
+        world.run(SETTLED);
+        RolloutStatus after = world.rolloutStatus().orElseThrow();
+        assertThat(after.order()).isEqualTo(before.order());
+        assertThat(after.elapsed()).isGreaterThanOrEqualTo(before.elapsed());
+    }
+
     /** Guards against nodes whose registration is lost for good: the others would divide all limits without them. */
     @ParameterizedTest
     @ValueSource(ints = {3, 9, 30})
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -20,6 +20,7 @@
 import org.wagtaillug.feed.DirectoryItem;
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedPosition;
 import org.wagtaillug.feed.FeedReader;
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.feed.RecordDecoder;
@@ -92,6 +93,7 @@
     private final Map<String, Object> decodedRecords = new HashMap<>();
     private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>();
     private long sequence;
+    private long era;
     private int results;
 
     private record Delivery(Instant at, long number, VmId node, ServingEvent event) implements Comparable<Delivery> {
@@ -195,6 +197,7 @@
 
     /** Replaces the store by an earlier copy: later records are gone, and their offsets are given out again. */
     void restoreStore(Map<FeedName, Integer> copy) {
+        era++;
         copy.forEach((feed, size) ->
                 store.get(feed).subList(size, store.get(feed).size()).clear());
     }
@@ -376,7 +379,8 @@
 
     private void write(VmId vm, ServingEffect.WriteRecord write) {
         List<FeedRecord> records = store.get(write.feed());
-        boolean asExpected = write.expectedEnd().orElse(records.size()) == records.size();
+        long end = FeedPosition.of(era, records.size());
+        boolean asExpected = write.expectedEnd().orElse(end) == end;
         boolean done = asExpected && !refusedByStore.contains(vm) && !cutOffFromStore.contains(vm);
         if (done) {
             records.add(new FeedRecord(write.key(), records.size(), write.value()));
@@ -394,27 +398,34 @@
             return;
         }
         List<FeedRecord> all = store.get(read.feed());
+        long end = FeedPosition.of(era, all.size());
         switch (read.read()) {
             case FeedReader.Read.Newest ignored -> {
                 Map<String, FeedRecord> newest = new HashMap<>();
-                all.forEach(record -> newest.put(record.key(), record));
+                all.forEach(record -> newest.put(record.key(), inEra(record)));
                 newest.values().removeIf(record -> record.value().isEmpty());
                 schedule(
                         MESSAGE_DELAY,
                         vm,
-                        new ServingEvent.FeedListed(read.feed(), List.copyOf(newest.values()), false, all.size()));
+                        new ServingEvent.FeedListed(read.feed(), List.copyOf(newest.values()), false, end));
             }
             case FeedReader.Read.From from
-            when from.from() > all.size() -> schedule(MESSAGE_DELAY, vm, new ServingEvent.FeedTruncated(read.feed()));
+            when from.from() > end || FeedPosition.era(from.from()) != era ->
+                schedule(MESSAGE_DELAY, vm, new ServingEvent.FeedTruncated(read.feed()));
             case FeedReader.Read.From from -> {
-                List<FeedRecord> rest = all.subList((int) Math.min(from.from(), all.size()), all.size());
+                List<FeedRecord> rest = all.subList((int) FeedPosition.offset(from.from()), all.size());
                 Duration wait = rest.isEmpty() ? from.longestWait().dividedBy(10) : Duration.ZERO;
-                FeedBatch batch = new FeedBatch(all.size(), false, List.copyOf(rest));
+                FeedBatch batch =
+                        new FeedBatch(end, false, rest.stream().map(this::inEra).toList());
                 schedule(MESSAGE_DELAY.plus(wait), vm, new ServingEvent.FeedRead(read.feed(), batch));
             }
         }
     }
 
+    private FeedRecord inEra(FeedRecord record) {
+        return new FeedRecord(record.key(), FeedPosition.of(era, record.offset()), record.value());
+    }
+
     /** Lets a node connect to an upstream, which fails without a path. */
     void connect(VmId vm, VmId upstream) {
         Optional<Duration> failure = Optional.ofNullable(withoutUpstreams.get(vm));
