--- a/wagtaillug-core/src/main/java/org/wagtaillug/reachability/PoolReachability.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/reachability/PoolReachability.java
@@ -134,9 +134,10 @@
         return started;
     }
 
-    /** Drops what is known of upstreams that are no longer listed. */
-    void retain(List<VmId> usable) {
-        failures.keySet().retainAll(usable);
+    /** Drops what is known of upstreams that are no longer usable; returns whether the pool was suspect only for those. */
+    boolean retain(List<VmId> usable) {
+        boolean changed = failures.keySet().retainAll(usable) && failures.isEmpty();
         unreachable &= !failures.isEmpty();
+        return changed;
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/reachability/Reachability.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/reachability/Reachability.java
@@ -28,6 +28,7 @@
     private final UpstreamDirectory directory;
     private final Map<PoolId, PoolReachability> pools = new HashMap<>();
     private final Set<VmId> requestedProbes = new TreeSet<>();
+    private long changes;
 
     /** Creates an instance to which every pool is reachable. */
     public Reachability(UpstreamDirectory directory) {
@@ -36,12 +37,19 @@
 
     /** Records that a connection was opened at a time; returns whether the pool of the upstream was unreachable before. */
     public boolean onConnected(Upstream upstream, Instant at) {
-        return pool(upstream.pool()).onConnected(upstream.id(), at);
+        PoolReachability pool = pool(upstream.pool());
+        boolean wasSuspect = pool.suspect();
+        boolean regained = pool.onConnected(upstream.id(), at);
+        changes += wasSuspect && !pool.suspect() ? 1 : 0;
+        return regained;
     }
 
     /** Records that a connection could not be opened; returns whether the pool has become unreachable. */
     public boolean onFailed(Upstream upstream, Instant now) {
-        boolean lost = pool(upstream.pool()).onFailed(upstream.id(), usable(upstream.pool()), now);
+        PoolReachability pool = pool(upstream.pool());
+        boolean wasSuspect = pool.suspect();
+        boolean lost = pool.onFailed(upstream.id(), usable(upstream.pool()), now);
+        changes += lost || wasSuspect != pool.suspect() ? 1 : 0;
         if (lost) {
             doubtOthers(upstream.pool(), now);
         }
@@ -69,7 +77,7 @@
         for (PoolId id : List.copyOf(pools.keySet())) {
             List<VmId> usable = usable(id);
             PoolReachability pool = pool(id);
-            pool.retain(usable);
+            changes += pool.retain(usable) ? 1 : 0;
             due.addAll(pool.probesDue(usable, now));
         }
         return due;
@@ -87,6 +95,11 @@
         return known != null && known.suspect();
     }
 
+    /** The number of times that the unreachable or the suspect pools have changed. */
+    public long changes() {
+        return changes;
+    }
+
     /** The pools for which {@link #unreachable} holds. */
     public Set<PoolId> unreachablePools() {
         Set<PoolId> unreachable = new TreeSet<>();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamPaths.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamPaths.java
@@ -41,7 +41,7 @@
     private final Consumer<ServingEffect> effects;
     private final Reachability reachability;
     private final Map<PoolId, Instant> lostSince = new HashMap<>();
-    private boolean changed;
+    private long polledChanges;
 
     /** The path that a request may take now. */
     sealed interface Choice {
@@ -112,22 +112,20 @@
 
     /** Whether the reachable or suspect pools have changed since the last call. */
     boolean pollChanged() {
-        boolean result = changed;
-        changed = false;
-        return result;
+        boolean changed = reachability.changes() != polledChanges;
+        polledChanges = reachability.changes();
+        return changed;
     }
 
     /** Records that this node has opened a connection to an upstream at a time. */
     void onConnected(VmId id, Instant at) {
         directory.find(id).ifPresent(upstream -> {
-            boolean suspect = reachability.suspect(upstream.pool());
             if (reachability.onConnected(upstream, at)) {
                 lostSince.remove(upstream.pool());
                 log(Decision.builder("pool_reachable")
                         .field("pool", upstream.pool())
                         .field("upstream", id));
             }
-            changed |= suspect;
         });
     }
 
@@ -138,7 +136,6 @@
 
     private void onConnectFailed(Upstream upstream, String reason, Instant now) {
         PoolId pool = upstream.pool();
-        boolean suspect = reachability.suspect(pool);
         if (reachability.onFailed(upstream, now)) {
             lostSince.put(pool, now);
             // The upstreams did not fail; they must be usable through peers.
@@ -150,9 +147,7 @@
                     .field("upstream", upstream.id())
                     .field("reason", reason)
                     .field("upstreams", directory.usable(pool).size()));
-            changed = true;
         }
-        changed |= !suspect;
     }
 
     /** Records that an open connection has failed or stalled. */
