--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedPosition.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedPosition.java
@@ -17,6 +17,12 @@
         return era << OFFSET_BITS | offset;
     }
 
+    /** A position for a log line: the offset, after its era if the store has come back from an earlier copy. */
+    public static String text(long position) {
+        long era = era(position);
+        return era == 0 ? Long.toString(offset(position)) : era + ":" + offset(position);
+    }
+
     /** The era of a position. */
     public static long era(long position) {
         return position >> OFFSET_BITS;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedPosition;
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
@@ -138,7 +139,7 @@
         if (decoded.isLeft()) {
             log(Decision.builder("record_unreadable")
                     .field("key", record.key())
-                    .field("offset", record.offset())
+                    .field("offset", FeedPosition.text(record.offset()))
                     .field("reason", decoded.getLeft()));
             onRemoved(id, now);
             return;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
@@ -19,6 +19,7 @@
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.directory.VersionRule;
 import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedPosition;
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.feed.RolloutItem;
 import org.wagtaillug.id.PoolId;
@@ -115,12 +116,14 @@
                 .field("pool", order.pool())
                 .field("version", order.version())
                 .field("within_ms", order.within().toMillis())
-                .field("offset", order.id()));
+                .field("offset", FeedPosition.text(order.id())));
     }
 
     void onWithdrawn(PoolId pool, FeedRecord record) {
         rollouts.onWithdrawn(pool);
-        log(Decision.builder("rollout_withdrawn").field("pool", pool).field("offset", record.offset()));
+        log(Decision.builder("rollout_withdrawn")
+                .field("pool", pool)
+                .field("offset", FeedPosition.text(record.offset())));
     }
 
     /** Processes a record of the rollouts feed. */
@@ -131,7 +134,7 @@
                 if (known != null && reported.status().earlierThan(known)) {
                     log(Decision.builder("rollout_status_older")
                             .field("pool", reported.pool())
-                            .field("offset", record.offset()));
+                            .field("offset", FeedPosition.text(record.offset())));
                     return;
                 }
                 lostStatuses.onRead(reported.pool());
@@ -142,13 +145,13 @@
                         .field("version", reported.status().version())
                         .field("state", reported.status().state())
                         .field("share", reported.status().share())
-                        .field("offset", record.offset()));
+                        .field("offset", FeedPosition.text(record.offset())));
             }
             case RolloutItem.Removed removed -> rollouts.onStatusRemoved(removed.pool());
             case RolloutItem.Ignored ignored ->
                 log(Decision.builder("record_ignored")
                         .field("key", record.key())
-                        .field("offset", record.offset())
+                        .field("offset", FeedPosition.text(record.offset()))
                         .field("reason", ignored.reason()));
         }
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -11,6 +11,7 @@
 import org.wagtaillug.feed.ConfigurationItem;
 import org.wagtaillug.feed.DirectoryItem;
 import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedPosition;
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.NodeId;
@@ -301,14 +302,14 @@
                 log(Decision.builder("domain_service")
                         .field("domain", service.domain())
                         .field("out", service.out())
-                        .field("offset", record.offset()));
+                        .field("offset", FeedPosition.text(record.offset())));
             }
             case ConfigurationItem.RolloutOrdered ordered -> rollouts.onOrder(ordered.order(), storeUnstable, now);
             case ConfigurationItem.RolloutWithdrawn withdrawn -> rollouts.onWithdrawn(withdrawn.pool(), record);
             case ConfigurationItem.Ignored ignored ->
                 log(Decision.builder("record_ignored")
                         .field("key", record.key())
-                        .field("offset", record.offset())
+                        .field("offset", FeedPosition.text(record.offset()))
                         .field("reason", ignored.reason()));
         }
     }
@@ -317,7 +318,7 @@
         if (configuration.isPresent() && configuration.get().version() > latest.version()) {
             log(Decision.builder("configuration_older")
                     .field("version", latest.version())
-                    .field("offset", record.offset()));
+                    .field("offset", FeedPosition.text(record.offset())));
             return;
         }
         configuration = Optional.of(latest);
@@ -326,7 +327,7 @@
         effects.add(new ServingEffect.LimitsChanged(latest.limits()));
         log(Decision.builder("configuration")
                 .field("version", latest.version())
-                .field("offset", record.offset())
+                .field("offset", FeedPosition.text(record.offset()))
                 .field("routes", latest.routes().size())
                 .field("keys", latest.customers().size()));
     }
@@ -339,7 +340,7 @@
                 if (directory.obsolete(listing, storeUnstable, now)) {
                     log(Decision.builder("upstream_older")
                             .field("upstream", listing.id())
-                            .field("offset", record.offset()));
+                            .field("offset", FeedPosition.text(record.offset())));
                     return true;
                 }
                 boolean known = directory
@@ -359,7 +360,7 @@
             case DirectoryItem.Unreadable unreadable -> {
                 log(Decision.builder("record_unreadable")
                         .field("key", record.key())
-                        .field("offset", record.offset())
+                        .field("offset", FeedPosition.text(record.offset()))
                         .field("reason", unreadable.reason()));
                 remove(unreadable.upstream(), record, storeUnstable, now);
             }
@@ -376,7 +377,7 @@
             log(Decision.builder("upstream")
                     .field("upstream", upstream)
                     .field("change", change)
-                    .field("offset", record.offset()));
+                    .field("offset", FeedPosition.text(record.offset())));
         }
     }
 
