--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/tunnel/TunnelServer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/tunnel/TunnelServer.java
@@ -11,6 +11,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -33,9 +35,16 @@
     /** Network latency is a few milliseconds; a lost SYN packet is retransmitted only after a second. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
+    /**
+     * A tunnel that carries no byte for this long is closed: the peer or the network may have failed without a reset, and
+     * no request waits longer for its answer. TCP keep-alive would notice that only after hours.
+     */
+    private static final Duration MAX_IDLE = Duration.ofSeconds(30);
+
     private static final long CLOSE_POLL_MILLIS = 20;
 
     private final Consumer<ServingEvent> events;
+    private final Duration maxIdle;
     private final Bootstrap connector;
     private final AtomicLong lastNumber = new AtomicLong();
     private final Map<Long, Channel> peers = new ConcurrentHashMap<>();
@@ -48,7 +57,13 @@
      */
     public TunnelServer(EventLoopGroup eventLoops, String host, int port, Consumer<ServingEvent> events)
             throws InterruptedException {
+        this(eventLoops, host, port, events, MAX_IDLE);
+    }
+
+    TunnelServer(EventLoopGroup eventLoops, String host, int port, Consumer<ServingEvent> events, Duration maxIdle)
+            throws InterruptedException {
         this.events = events;
+        this.maxIdle = maxIdle;
         this.connector = new Bootstrap()
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
@@ -118,10 +133,13 @@
     }
 
     /** The status must be written before any byte of the upstream is. */
-    private static void join(Channel peer, Channel upstream) {
+    private void join(Channel peer, Channel upstream) {
         upstream.pipeline().addLast(new FramedForwarder(peer));
         peer.eventLoop().execute(() -> {
-            peer.pipeline().addLast(new RawForwarder(upstream));
+            peer.pipeline()
+                    .addLast(
+                            new IdleStateHandler(0, 0, maxIdle.toMillis(), TimeUnit.MILLISECONDS),
+                            new RawForwarder(upstream));
             peer.pipeline().remove(TunnelRequestDecoder.class);
             if (!peer.isActive()) {
                 upstream.close();
@@ -155,6 +173,11 @@
         }
     }
 
+    /** The port that the server listens on. */
+    int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
     /** Stops listening and closes all tunnels. */
     @Override
     public void close() {
