--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -59,7 +59,7 @@
      */
     record Paths(Set<PoolId> unreachable, boolean acceptsTunnels) {
         /** The paths of a node that reaches all pools and accepts no tunnels. */
-        public static final Paths OWN = new Paths(Set.of(), false);
+        public static final Paths ALL_REACHABLE = new Paths(Set.of(), false);
 
         /** Makes a defensive copy of the set. */
         public Paths {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -80,7 +80,7 @@
         private long incarnation;
         private boolean serving;
         private boolean storeLost;
-        private Paths paths = Paths.OWN;
+        private Paths paths = Paths.ALL_REACHABLE;
         private Map<FeedName, Long> positions = Map.of();
         private List<QueueDelayEstimate> waits = List.of();
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/reachability/PoolReachability.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/reachability/PoolReachability.java
@@ -21,6 +21,9 @@
     /** A connection that was opened this long before the end of a failed attempt shows that the path works. */
     private static final Duration ATTEMPT_TIME = Duration.ofMillis(400);
 
+    /** Probes of upstreams that work are answered within this time. */
+    private static final Duration PROBE_ANSWER_TIME = Duration.ofMillis(100);
+
     /** Pause between two probes of an unreachable pool, and between two probes of the same upstream. */
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(500);
 
@@ -48,6 +51,11 @@
         return !failures.isEmpty();
     }
 
+    /** Whether it is not known soon after the first failure that the path works; a single failed upstream is known by then. */
+    boolean doubtful(Instant now) {
+        return unreachable || (suspect() && !now.isBefore(firstFailure.plus(PROBE_ANSWER_TIME)));
+    }
+
     /** Records that a connection to an upstream was opened at a time; returns whether the pool was unreachable before. */
     boolean onConnected(VmId upstream, Instant at) {
         probes.remove(upstream);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/reachability/Reachability.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/reachability/Reachability.java
@@ -111,15 +111,15 @@
         return unreachable;
     }
 
-    /** The pools for which {@link #suspect} holds. */
-    public Set<PoolId> suspectPools() {
-        Set<PoolId> suspect = new TreeSet<>();
+    /** The pools that are unreachable, or whose failures probes have not explained in time. */
+    public Set<PoolId> doubtfulPools(Instant now) {
+        Set<PoolId> doubtful = new TreeSet<>();
         pools.forEach((id, pool) -> {
-            if (pool.suspect()) {
-                suspect.add(id);
+            if (pool.doubtful(now)) {
+                doubtful.add(id);
             }
         });
-        return suspect;
+        return doubtful;
     }
 
     private PoolReachability pool(PoolId id) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -351,7 +351,7 @@
         return path;
     }
 
-    /** Whether a path is that of a direct connection, opened for the latest attempt. */
+    /** Whether the latest attempt opened a connection from this node to its upstream. */
     boolean opensConnection() {
         return path instanceof UpstreamPath.Direct && needsFreshConnection();
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -74,7 +74,7 @@
                 .field("incarnation", upstream.listing().incarnation())
                 .field("version", upstream.listing().version())
                 .field("domain", upstream.domain())
-                .field("path", flow.path())
+                .field("path", text(flow.path()))
                 .field("in_flight", inFlight)
                 .field("prompt_tokens", flow.request().promptTokens())
                 .field("kept_tokens", keptTokens)
@@ -82,6 +82,13 @@
                 .field("since_arrival_ms", millis(flow.arrivedAt(), now)));
     }
 
+    private static String text(UpstreamPath path) {
+        return switch (path) {
+            case UpstreamPath.Direct ignored -> "direct";
+            case UpstreamPath.ThroughPeer through -> "through " + through.peer();
+        };
+    }
+
     void answerStarted(Flow flow, Upstream upstream, UpstreamNotice notice, Instant now) {
         Decision.Builder line = line("answer_began", flow)
                 .field("attempt", flow.attempts())
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -49,8 +49,8 @@
     private boolean rosterRead;
     private boolean rosterChanged;
     private boolean rolloutInProgress;
-    private Set<PoolId> suspectPools = Set.of();
-    private ServingMessage.Paths reportedPaths = ServingMessage.Paths.OWN;
+    private Set<PoolId> doubtfulPools = Set.of();
+    private ServingMessage.Paths reportedPaths = ServingMessage.Paths.ALL_REACHABLE;
 
     PeerMembership(
             ServingSetup setup,
@@ -104,7 +104,7 @@
         if (rolloutInProgress) {
             duties.put(ROLLOUT_DUTY, Duty.ofStoreReaders(roster.ranking(ROLLOUT_DUTY), 1));
         }
-        for (PoolId pool : suspectPools) {
+        for (PoolId pool : doubtfulPools) {
             List<VmId> others = new ArrayList<>(roster.ranking(TUNNEL_DUTY + self.vm()));
             others.remove(self.vm());
             duties.put(UpstreamPaths.tunnels(pool), Duty.ofTunnels(others, UpstreamPaths.TUNNEL_PEERS, pool));
@@ -115,8 +115,8 @@
     /** Reports changed paths to all peers and looks for peers with a path to the pools that may be unreachable. */
     void onPathsChanged(UpstreamPaths paths, ServingMessage.Heartbeat heartbeat, Instant now) {
         peers.setUnreachable(paths.report().unreachable());
-        if (!suspectPools.equals(paths.suspectPools())) {
-            suspectPools = paths.suspectPools();
+        if (!doubtfulPools.equals(paths.doubtfulPools())) {
+            doubtfulPools = paths.doubtfulPools();
             updateDuties();
         }
         if (!reportedPaths.equals(paths.report())) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -134,7 +134,7 @@
             case ServingEvent.DrainStarted started -> onDrainStarted(started.requestedAt(), now);
             case ServingEvent.PortsClosing ignored -> shutdown.closePorts();
         }
-        if (paths.pollChanged()) {
+        if (paths.pollChanged(now)) {
             membership.onPathsChanged(paths, heartbeat(true, now), now);
             housekeepingDue = now;
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamPaths.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamPaths.java
@@ -41,6 +41,8 @@
     private final Consumer<ServingEffect> effects;
     private final Reachability reachability;
     private final Map<PoolId, Instant> lostSince = new HashMap<>();
+    private Set<PoolId> doubtfulPools = Set.of();
+    private boolean doubtRaised;
     private long polledChanges;
 
     /** The path that a request may take now. */
@@ -101,8 +103,8 @@
     }
 
     /** The pools for which peers with a path are needed. */
-    Set<PoolId> suspectPools() {
-        return reachability.suspectPools();
+    Set<PoolId> doubtfulPools() {
+        return doubtfulPools;
     }
 
     /** What this node reports to others. */
@@ -110,10 +112,14 @@
         return new ServingMessage.Paths(reachability.unreachablePools(), acceptsTunnels);
     }
 
-    /** Whether the reachable or suspect pools have changed since the last call. */
-    boolean pollChanged() {
-        boolean changed = reachability.changes() != polledChanges;
+    /** Whether the unreachable or doubtful pools may have changed since the last call. */
+    boolean pollChanged(Instant now) {
+        boolean changed = reachability.changes() != polledChanges || doubtRaised;
         polledChanges = reachability.changes();
+        doubtRaised = false;
+        if (changed) {
+            doubtfulPools = reachability.doubtfulPools(now);
+        }
         return changed;
     }
 
@@ -178,8 +184,9 @@
         }
     }
 
-    /** Starts the probes that are due. */
+    /** Starts the probes that are due, and notices suspicions that have lasted. */
     void onTick(Instant now) {
+        doubtRaised |= !doubtfulPools.containsAll(reachability.doubtfulPools(now));
         for (VmId id : reachability.probesDue(now)) {
             directory
                     .find(id)
--- a/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
@@ -71,8 +71,8 @@
             nodes.get(sender).onDisconnected(receiver, now);
             return;
         }
-        Heartbeat heartbeat =
-                new Heartbeat(reply, true, false, false, Map.of(), List.of(), List.of(), List.of(), Paths.OWN);
+        Heartbeat heartbeat = new Heartbeat(
+                reply, true, false, false, Map.of(), List.of(), List.of(), List.of(), Paths.ALL_REACHABLE);
         nodes.get(receiver).onHeartbeat(new NodeId(sender, 1), heartbeat, now);
         if (!reply && !nodes.get(receiver).watches(sender)) {
             deliver(receiver, sender, true);
