--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -55,6 +55,9 @@
 
     private static final int MAX_STEP_RESTARTS = 1;
 
+    /** Status of an upstream that has no room for the request. */
+    private static final int STATUS_UNAVAILABLE = 503;
+
     /** Status of an upstream that does not find an input of the request. */
     private static final int STATUS_INPUTS_GONE = 409;
 
@@ -443,7 +446,9 @@
             case SendEnd.Unsent ignored -> retryUnsent(flow, now);
             case SendEnd.NoPath ignored -> retryUnsent(flow, now);
             case SendEnd.NotRun notRun -> {
-                notices.onRejected(upstream.listing(), now);
+                if (notRun.status() == STATUS_UNAVAILABLE) {
+                    notices.onRejected(upstream.listing(), now);
+                }
                 onNotRun(flow, notRun.status(), now);
             }
             case SendEnd.Failed ignored -> onFailed(flow, now);
