--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/Feed.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/Feed.java
@@ -44,6 +44,10 @@
      */
     public List<FeedRecord> apply(FeedBatch batch) {
         List<FeedRecord> changed = new ArrayList<>();
+        if (complete && FeedPosition.era(batch.next()) < FeedPosition.era(next)) {
+            // Read before the store came back from an earlier copy; it may hold keys that are gone since.
+            return changed;
+        }
         for (FeedRecord record : batch.records()) {
             FeedRecord current = latest.get(record.key());
             if (current == null || record.offset() > current.offset()) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/feed/FeedTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/feed/FeedTest.java
@@ -27,6 +27,16 @@
         assertThat(feed.after(0).records()).extracting(FeedRecord::key).containsExactlyInAnyOrder("a", "b");
     }
 
+    /** Guards against keys that a restored store does not have and that a late answer of an earlier era brings back. */
+    @Test
+    void aReadOfAnEarlierEraIsIgnored() {
+        Feed feed = new Feed();
+        feed.apply(new FeedBatch(8, true, List.of(record("a", 7))));
+        feed.apply(new FeedBatch(FeedPosition.of(1, 3), true, List.of(record("a", FeedPosition.of(1, 2)))));
+        assertThat(feed.apply(new FeedBatch(9, false, List.of(record("b", 8))))).isEmpty();
+        assertThat(feed.next()).isEqualTo(FeedPosition.of(1, 3));
+    }
+
     @Test
     void aKeyMissingFromACompleteListingIsRemoved() {
         Feed feed = new Feed();
