--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/PartitionedFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/PartitionedFleet.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -180,12 +181,18 @@
     /** Lets a node connect to the upstream of an attempt, for itself or for the node that has requested a tunnel. */
     private void connect(VmId connecting, VmId node, SendOrder order) {
         if (world.withoutUpstreams.containsKey(connecting)) {
-            end(node, order, new SendEnd.Unsent("connect timeout"), world.withoutUpstreams.get(connecting));
+            end(node, order, failedConnection(), world.withoutUpstreams.get(connecting));
             return;
         }
         answer(node, order);
     }
 
+    private SendEnd failedConnection() {
+        return world.resetsAfterConnect
+                ? new SendEnd.Broken("reset", Optional.empty())
+                : new SendEnd.Unsent("connect timeout");
+    }
+
     private void end(VmId node, SendOrder order, SendEnd end, Duration after) {
         ServingEvent ended = new ServingEvent.SendEnded(order.request(), order.attempt(), end);
         deliveries.add(new Delivery(world.now.plus(after), node, ended));
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/PartitionedNodesTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/PartitionedNodesTest.java
@@ -28,11 +28,27 @@
         "9, 8, 3, 400, 20, 5",
         "9, 6, 1, 400, 20, 6",
         "30, 20, 8, 400, 60, 7",
-        "60, 12, 8, 2, 60, 8"
+        "60, 12, 8, 2, 60, 8",
+        "77, 52, 12, 400, 80, 9",
+        "77, 52, 12, 2, 80, 10",
+        "77, 26, 12, 400, 80, 12"
     })
     void callersOfNodesWithoutUpstreamsAreServedLikeOthers(
             int nodes, int cutNodes, int upstreams, long connectMillis, double rate, long seed) {
+        play(new PartitionedFleet(nodes, upstreams, seed), cutNodes, connectMillis, rate);
+    }
+
+    /** Guards against nodes that do not notice a partition in which connections open and are reset before any answer. */
+    @ParameterizedTest
+    @CsvSource({"9, 2, 3, 40, 2", "9, 6, 3, 40, 3", "77, 52, 12, 80, 9"})
+    void callersOfNodesWhoseConnectionsAreResetAreServedLikeOthers(
+            int nodes, int cutNodes, int upstreams, double rate, long seed) {
         PartitionedFleet fleet = new PartitionedFleet(nodes, upstreams, seed);
+        fleet.world.resetsAfterConnect = true;
+        play(fleet, cutNodes, PartitionedFleet.REFUSED_CONNECT.toMillis(), rate);
+    }
+
+    private static void play(PartitionedFleet fleet, int cutNodes, long connectMillis, double rate) {
         fleet.run(Duration.ofSeconds(4), rate);
         Set<VmId> cut = fleet.randomNodes(cutNodes);
         fleet.partition(cut, Duration.ofMillis(connectMillis));
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -82,6 +82,9 @@
     /** Nodes that cannot connect to any upstream, with the time until an attempt to connect fails. */
     final Map<VmId, Duration> withoutUpstreams = new HashMap<>();
 
+    /** Whether those nodes can open connections, which are reset before any answer. */
+    boolean resetsAfterConnect;
+
     /** What stage servers announce in their answers; one that requests a pause refuses all requests. */
     final Map<VmId, UpstreamNotice> notices = new HashMap<>();
 
@@ -428,7 +431,8 @@
 
     /** Lets a node connect to an upstream, which fails without a path. */
     void connect(VmId vm, VmId upstream) {
-        Optional<Duration> failure = Optional.ofNullable(withoutUpstreams.get(vm));
+        Optional<Duration> failure =
+                Optional.ofNullable(withoutUpstreams.get(vm)).filter(after -> !resetsAfterConnect);
         schedule(
                 failure.orElse(MESSAGE_DELAY),
                 vm,
@@ -441,7 +445,11 @@
                     withoutUpstreams.get(vm),
                     vm,
                     new ServingEvent.BatchCallEnded(
-                            call.number(), new BatchCallEnd.Unsent("connect timeout"), Optional.empty()));
+                            call.number(),
+                            resetsAfterConnect
+                                    ? new BatchCallEnd.Broken("reset")
+                                    : new BatchCallEnd.Unsent("connect timeout"),
+                            Optional.empty()));
             return;
         }
         batchCalls.add(call);
