--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -68,7 +68,7 @@
         Instant firstEventLimit = now.plus(route.firstEventWithin());
         this.firstEventDeadline = firstEventLimit.isBefore(deadline) ? firstEventLimit : deadline;
         this.pool = route.poolOf(request.id());
-        this.lastEvent = request.resumesAfter();
+        this.lastEvent = request.resumption().map(Resumption::lastEvent);
     }
 
     RoutedRequest request() {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -42,6 +42,8 @@
                 .field("patience_ms", millis(now, flow.deadline()))
                 .field("pieces", flow.request().items())
                 .field("content", flow.request().fingerprint());
+        flow.request().resumption().ifPresent(resumption -> line.field("resumes_after", resumption.lastEvent())
+                .field("resumes", resumption.stream().map(Object::toString).orElse("-")));
         if (shutdown.started()) {
             line.field("since_signal_ms", shutdown.since(now).toMillis());
         }
@@ -68,7 +70,7 @@
     }
 
     void send(Flow flow, Upstream upstream, int inFlight, long keptTokens, Instant now) {
-        write(line("send", flow)
+        Decision.Builder line = line("send", flow)
                 .field("attempt", flow.attempts())
                 .field("upstream", upstream.id())
                 .field("incarnation", upstream.listing().incarnation())
@@ -79,7 +81,9 @@
                 .field("prompt_tokens", flow.request().promptTokens())
                 .field("kept_tokens", keptTokens)
                 .field("inputs", flow.inputHandles().size())
-                .field("since_arrival_ms", millis(flow.arrivedAt(), now)));
+                .field("since_arrival_ms", millis(flow.arrivedAt(), now));
+        flow.lastEvent().ifPresent(event -> line.field("resumes_after", event));
+        write(line);
     }
 
     private static String text(UpstreamPath path) {
@@ -98,6 +102,15 @@
         write(withNotice(line, notice));
     }
 
+    /** Logs that the first event of a stream was passed to the caller. */
+    void streamBegan(Flow flow, Upstream upstream) {
+        write(line("stream_began", flow)
+                .field("attempt", flow.attempts())
+                .field("upstream", upstream.id())
+                .field("incarnation", upstream.listing().incarnation())
+                .field("version", upstream.listing().version()));
+    }
+
     private static Decision.Builder withNotice(Decision.Builder line, UpstreamNotice notice) {
         notice.rateLimit().ifPresent(limit -> line.field("rate_limit", limit));
         if (notice.leaving()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -414,6 +414,16 @@
         inputs.onAnswerStarted(flow, now);
     }
 
+    void onEventPassed(ServingEvent.EventPassed passed) {
+        Flow flow = flows.get(passed.request());
+        if (flow == null || flow.attempt() != passed.attempt() || flow.target().isEmpty()) {
+            return;
+        }
+        if (flow.lastEvent().isEmpty()) {
+            log.streamBegan(flow, flow.target().get());
+        }
+    }
+
     /** Records that the upstream has finished reading the prompt, or will not read it. */
     private void finishReading(Flow flow) {
         if (flow.finishReading()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
@@ -19,7 +19,7 @@
  * @param itemKey input of steps without predecessors
  * @param promptSegments segments of the prompt, in order; empty if there is none
  * @param promptTokens length of the prompt, 0 if there is none
- * @param resumesAfter id of the last event that the caller has received of an interrupted stream
+ * @param resumption the interrupted stream that the caller takes up; empty if it begins a new one
  */
 public record RoutedRequest(
         RequestId id,
@@ -31,7 +31,7 @@
         Optional<String> itemKey,
         List<PrefixSegment> promptSegments,
         int promptTokens,
-        Optional<String> resumesAfter) {
+        Optional<Resumption> resumption) {
     public RoutedRequest {
         items = List.copyOf(items);
         promptSegments = List.copyOf(promptSegments);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -105,6 +105,7 @@
             case ServingEvent.CallerDisconnected disconnected ->
                 flows.onCallerDisconnected(disconnected.request(), now);
             case ServingEvent.AnswerStarted started -> flows.onAnswerStarted(started, now);
+            case ServingEvent.EventPassed passed -> flows.onEventPassed(passed);
             case ServingEvent.SendEnded ended -> flows.onSendEnded(ended, now);
             case ServingEvent.BatchCallEnded ended -> {
                 orders.scheduler()
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -46,6 +46,14 @@
         }
     }
 
+    /**
+     * The first complete event of a stream was passed to the caller by an attempt.
+     *
+     * @param request the request
+     * @param attempt its attempt
+     */
+    record EventPassed(RequestId request, int attempt) implements ServingEvent {}
+
     /**
      * An attempt has ended; sent once for each {@link ServingEffect.Send}.
      *
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -5,8 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
@@ -35,14 +33,26 @@
     private final SendOrder order;
     private final RoutedExchange exchange;
     private final UpstreamTranslation translation;
-    private final Consumer<Optional<UpstreamNotice>> onStarted;
-    private final BiConsumer<SendEnd, Optional<UpstreamNotice>> onEnd;
+    private final Listener listener;
     private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
     private final EventSplitter events = new EventSplitter();
     private volatile boolean sent;
     private Meaning meaning = Meaning.NOTHING;
     private Optional<UpstreamNotice> notice = Optional.empty();
     private Optional<String> abortReason = Optional.empty();
+    private boolean eventPassed;
+
+    /** Receives the progress of an answer. */
+    interface Listener {
+        /** A successful stream has started. */
+        void onStarted(Optional<UpstreamNotice> notice);
+
+        /** The first complete event was passed to the caller. */
+        void onEventPassed();
+
+        /** The attempt has ended. */
+        void onEnded(SendEnd end, Optional<UpstreamNotice> notice);
+    }
 
     private enum Meaning {
         NOTHING,
@@ -52,17 +62,11 @@
         STREAM
     }
 
-    UpstreamAnswer(
-            SendOrder order,
-            RoutedExchange exchange,
-            UpstreamTranslation translation,
-            Consumer<Optional<UpstreamNotice>> onStarted,
-            BiConsumer<SendEnd, Optional<UpstreamNotice>> onEnd) {
+    UpstreamAnswer(SendOrder order, RoutedExchange exchange, UpstreamTranslation translation, Listener listener) {
         this.order = order;
         this.exchange = exchange;
         this.translation = translation;
-        this.onStarted = onStarted;
-        this.onEnd = onEnd;
+        this.listener = listener;
     }
 
     void onSent() {
@@ -99,7 +103,7 @@
         }
         meaning = Meaning.STREAM;
         exchange.startAnswer(status, head);
-        onStarted.accept(translation.notice(status, head));
+        listener.onStarted(translation.notice(status, head));
     }
 
     private void abort(Response response, String reason) {
@@ -113,6 +117,7 @@
                 byte[] completeEvents = events.append(content);
                 if (completeEvents.length > 0) {
                     exchange.write(completeEvents);
+                    reportFirstEvent();
                 }
             }
             case WHOLE, FAILURE -> {
@@ -127,8 +132,15 @@
         }
     }
 
+    private void reportFirstEvent() {
+        if (!eventPassed) {
+            eventPassed = true;
+            listener.onEventPassed();
+        }
+    }
+
     void onComplete(Result result) {
-        onEnd.accept(end(result), notice);
+        listener.onEnded(end(result), notice);
     }
 
     private SendEnd end(Result result) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
@@ -107,18 +107,32 @@
             onEnded(order, active, new SendEnd.GivenUp(), Optional.empty());
             return;
         }
-        UpstreamAnswer answer = new UpstreamAnswer(
-                order,
-                exchange.get(),
-                translation,
-                notice -> events.accept(new ServingEvent.AnswerStarted(order.request(), order.attempt(), notice)),
-                (end, notice) -> onEnded(order, active, end, notice));
+        UpstreamAnswer answer = new UpstreamAnswer(order, exchange.get(), translation, listener(order, active));
         request.onRequestBegin(ignored -> answer.onSent())
                 .onResponseHeaders(answer::onHeaders)
                 .onResponseContent(answer::onContent)
                 .send(answer::onComplete);
     }
 
+    private UpstreamAnswer.Listener listener(SendOrder order, ActiveSend active) {
+        return new UpstreamAnswer.Listener() {
+            @Override
+            public void onStarted(Optional<UpstreamNotice> notice) {
+                events.accept(new ServingEvent.AnswerStarted(order.request(), order.attempt(), notice));
+            }
+
+            @Override
+            public void onEventPassed() {
+                events.accept(new ServingEvent.EventPassed(order.request(), order.attempt()));
+            }
+
+            @Override
+            public void onEnded(SendEnd end, Optional<UpstreamNotice> notice) {
+                UpstreamCaller.this.onEnded(order, active, end, notice);
+            }
+        };
+    }
+
     private Request request(SendOrder order, RoutedExchange exchange) {
         boolean direct = order.path() instanceof UpstreamPath.Direct;
         HttpClient client = direct && !order.freshConnection() ? pooledClient : singleUseClient;
