--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -313,19 +313,35 @@
 
     /** Sends a request with the given timeout of its caller. */
     void request(int node, RequestId id, String path, Optional<String> key, Duration callerTimeout, Integer... items) {
+        arrive(node(node), id, path, key, callerTimeout, List.of(items), Optional.empty());
+    }
+
+    /** Sends a request that takes up an interrupted stream, or begins one. */
+    void stream(VmId node, RequestId id, String route, Duration callerTimeout, Optional<Resumption> resumption) {
+        arrive(node, id, "/" + route + "/1", Optional.of(KEY), callerTimeout, List.of(), resumption);
+    }
+
+    private void arrive(
+            VmId node,
+            RequestId id,
+            String path,
+            Optional<String> key,
+            Duration callerTimeout,
+            List<Integer> items,
+            Optional<Resumption> resumption) {
         handle(
-                node(node),
+                node,
                 new ServingEvent.RequestArrived(new RoutedRequest(
                         id,
                         "shop.example",
                         path,
                         key,
                         callerTimeout,
-                        List.of(items),
+                        items,
                         Optional.of("piece-key"),
                         List.of(),
                         1000,
-                        Optional.empty())));
+                        resumption)));
     }
 
     /** Passes an event to a node and executes its effects. */
