--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -32,10 +32,11 @@
     private final Map<VmId, Instant> listedColdUntil = new HashMap<>();
     private final Set<DomainId> domainsOutOfService = new HashSet<>();
     private final Map<VmId, Removal> removals = new HashMap<>();
+    private final Map<VmId, Instant> restartSuspectedUntil = new HashMap<>();
     private final Departures departures = new Departures();
 
     /** The last entry of a removed upstream. */
-    private record Removal(long incarnation, Instant at) {}
+    private record Removal(Listing listing, Instant at) {}
 
     /** The effect of an update on the directory. */
     public enum Change {
@@ -70,7 +71,7 @@
             return sameRun && known.listing().leaving() && !listing.leaving();
         }
         Removal removal = removals.get(listing.id());
-        return removal != null && removal.incarnation() == listing.incarnation();
+        return removal != null && removal.listing().incarnation() == listing.incarnation();
     }
 
     /** Adds or updates the entry of an upstream. */
@@ -83,6 +84,7 @@
             byPool.get(known.pool()).remove(known.id());
         }
         pendingRemovals.remove(listing.id());
+        restartSuspectedUntil.remove(listing.id());
         listedColdUntil.put(listing.id(), coldUntil);
         upstreams.put(listing.id(), upstream);
         byPool.computeIfAbsent(listing.pool(), pool -> new TreeMap<>()).put(listing.id(), upstream);
@@ -116,8 +118,9 @@
         Upstream known = upstreams.remove(id);
         pendingRemovals.remove(id);
         listedColdUntil.remove(id);
+        restartSuspectedUntil.remove(id);
         if (known != null) {
-            removals.put(id, new Removal(known.listing().incarnation(), now));
+            removals.put(id, new Removal(known.listing(), now));
             byPool.get(known.pool()).remove(id);
         }
     }
@@ -139,6 +142,9 @@
     /** Treats an upstream as cold after a failed connection, since it may have restarted, until its next listing. */
     public void onConnectionFailure(VmId id, Instant coldUntil) {
         Upstream known = upstreams.get(id);
+        if (known != null) {
+            restartSuspectedUntil.put(id, coldUntil);
+        }
         if (known != null && coldUntil.isAfter(known.coldUntil())) {
             Upstream updated = new Upstream(known.listing(), coldUntil);
             upstreams.put(id, updated);
@@ -146,6 +152,25 @@
         }
     }
 
+    /** Whether an upstream may run at another version than listed, as a connection has failed since its last listing. */
+    public boolean mayHaveRestarted(VmId id, Instant now) {
+        return now.isBefore(restartSuspectedUntil.getOrDefault(id, Instant.EPOCH));
+    }
+
+    /** The versions at which a pool has served recently, those of removed upstreams included. */
+    public Set<VersionKey> recentVersions(PoolId pool) {
+        Set<VersionKey> versions = new HashSet<>();
+        for (Upstream upstream : byPool.getOrDefault(pool, new TreeMap<>()).values()) {
+            versions.add(VersionKey.of(upstream.listing().version()));
+        }
+        for (Removal removal : removals.values()) {
+            if (removal.listing().pool().equals(pool)) {
+                versions.add(VersionKey.of(removal.listing().version()));
+            }
+        }
+        return versions;
+    }
+
     /**
      * Processes the announcement of an upstream that it leaves.
      *
@@ -211,6 +236,7 @@
                     new Upstream(upstream.listing(), listedColdUntil.getOrDefault(upstream.id(), Instant.EPOCH));
             upstreams.put(upstream.id(), updated);
             byPool.get(pool).put(upstream.id(), updated);
+            restartSuspectedUntil.remove(upstream.id());
         }
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/VersionRule.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/VersionRule.java
@@ -26,10 +26,18 @@
         }
     }
 
+    /**
+     * Allows the version with a key.
+     *
+     * @param version the key of the allowed version
+     */
+    record Exactly(VersionKey version) implements VersionRule {}
+
     /** Whether a request may be sent to upstreams of a version. */
     default boolean allows(String version) {
         return switch (this) {
             case Only only -> only.version().equals(version);
+            case Exactly exactly -> exactly.version().equals(VersionKey.of(version));
             case Except except -> !except.versions().contains(version);
         };
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
@@ -22,7 +22,14 @@
      */
     MEMBERSHIP(Duration.ofSeconds(2), Duration.ofMillis(500)),
     /** The progress of rollouts; read only while there is one. */
-    ROLLOUTS(Duration.ofSeconds(2), Duration.ZERO);
+    ROLLOUTS(Duration.ofSeconds(2), Duration.ZERO),
+    /** The origins of streams, written by one node; read by the few nodes that answer for them, and not relayed. */
+    STREAMS(Duration.ZERO, Duration.ofSeconds(5)) {
+        @Override
+        public boolean relayed() {
+            return false;
+        }
+    };
 
     /** Added to the time between two reads, for a slow response and the message that relays it. */
     private static final Duration RELAY_ALLOWANCE = Duration.ofMillis(600);
@@ -48,6 +55,11 @@
         return false;
     }
 
+    /** Whether nodes that read the feed relay it to the others. */
+    public boolean relayed() {
+        return true;
+    }
+
     /** The pause between a response and the next read. */
     public Duration pause() {
         return pause;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -16,6 +16,7 @@
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.rollout.RolloutSample;
+import org.wagtaillug.stream.StreamOrigin;
 
 /** The messages between nodes that route by host and path. Any message may be lost. */
 public sealed interface ServingMessage extends PeerMessage {
@@ -31,6 +32,7 @@
      * @param rateLimits the rate limits of upstreams that the sender knows; the newest ones if there are many
      * @param departures the upstreams that have announced that they leave; the latest ones if there are many
      * @param paths what the sender reaches, and offers to other nodes
+     * @param keepsStreamOrigins whether the sender answers queries for the origins of streams
      */
     record Heartbeat(
             boolean reply,
@@ -41,7 +43,8 @@
             List<QueueDelayEstimate> waits,
             List<RateLimitReport> rateLimits,
             List<DepartureReport> departures,
-            Paths paths)
+            Paths paths,
+            boolean keepsStreamOrigins)
             implements ServingMessage {
         /** Makes a defensive copy of the lists. */
         public Heartbeat {
@@ -153,6 +156,44 @@
         }
     }
 
+    /**
+     * Streams have begun at the sender, or their origins have been corrected.
+     *
+     * @param origins where they began
+     */
+    record StreamsBegan(List<StreamOrigin> origins) implements ServingMessage {
+        /** Makes a defensive copy of the list. */
+        public StreamsBegan {
+            origins = List.copyOf(origins);
+        }
+    }
+
+    /**
+     * Asks where streams began.
+     *
+     * @param streams the ids of the requests that brought their first events
+     */
+    record StreamQuery(List<RequestId> streams) implements ServingMessage {
+        /** Makes a defensive copy of the list. */
+        public StreamQuery {
+            streams = List.copyOf(streams);
+        }
+    }
+
+    /**
+     * The response to {@link StreamQuery}; streams of which the sender may still learn are omitted.
+     *
+     * @param known where streams began
+     * @param unknown the streams that the sender does not know
+     */
+    record StreamReply(List<StreamOrigin> known, List<RequestId> unknown) implements ServingMessage {
+        /** Makes defensive copies of the lists. */
+        public StreamReply {
+            known = List.copyOf(known);
+            unknown = List.copyOf(unknown);
+        }
+    }
+
     /**
      * Releases results that are no longer needed.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Duty.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Duty.java
@@ -1,7 +1,9 @@
 package org.wagtaillug.peer;
 
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 
@@ -10,33 +12,53 @@
  *
  * @param ranking the candidates, in order of preference
  * @param holders the number of nodes that hold the duty at the same time
- * @param needsStore whether only nodes that can read the store may hold the duty
  * @param pool the pool to whose upstreams only nodes may hold the duty that reach them; empty if it needs none
- * @param needsTunnels whether only nodes that accept tunnels may hold the duty
+ * @param requirements what a node must be able to do to hold the duty
  */
-public record Duty(List<VmId> ranking, int holders, boolean needsStore, Optional<PoolId> pool, boolean needsTunnels) {
-    /** Makes a defensive copy of the list. */
+public record Duty(List<VmId> ranking, int holders, Optional<PoolId> pool, Set<Requirement> requirements) {
+    /** What a node must be able to do. */
+    public enum Requirement {
+        /** Its reads of the store are answered. */
+        STORE,
+        /** It accepts tunnels. */
+        TUNNELS,
+        /** It answers queries for the origins of streams. */
+        STREAM_ORIGINS
+    }
+
+    /** Makes defensive copies of the collections. */
     public Duty {
         ranking = List.copyOf(ranking);
+        requirements = Set.copyOf(requirements);
     }
 
     /** Creates a duty with one holder that needs neither the store nor upstreams. */
     public static Duty of(List<VmId> ranking) {
-        return new Duty(ranking, 1, false, Optional.empty(), false);
+        return new Duty(ranking, 1, Optional.empty(), Set.of());
     }
 
     /** Creates a duty of nodes that can read the store. */
     public static Duty ofStoreReaders(List<VmId> ranking, int holders) {
-        return new Duty(ranking, holders, true, Optional.empty(), false);
+        return new Duty(ranking, holders, Optional.empty(), Set.of(Requirement.STORE));
     }
 
     /** Creates a duty with one holder that reaches the upstreams of a pool. */
     public static Duty atPool(List<VmId> ranking, PoolId pool) {
-        return new Duty(ranking, 1, false, Optional.of(pool), false);
+        return new Duty(ranking, 1, Optional.of(pool), Set.of());
     }
 
     /** Creates the duty to forward connections to the upstreams of a pool. */
     public static Duty ofTunnels(List<VmId> ranking, int holders, PoolId pool) {
-        return new Duty(ranking, holders, false, Optional.of(pool), true);
+        return new Duty(ranking, holders, Optional.of(pool), Set.of(Requirement.TUNNELS));
+    }
+
+    /** Creates the duty to keep the origins of streams. */
+    public static Duty ofStreamKeepers(List<VmId> ranking, int holders) {
+        return new Duty(ranking, holders, Optional.empty(), Set.of(Requirement.STREAM_ORIGINS));
+    }
+
+    /** Creates the duty to write the origins of streams to the store. */
+    public static Duty ofStreamWriter(List<VmId> ranking) {
+        return new Duty(ranking, 1, Optional.empty(), EnumSet.of(Requirement.STREAM_ORIGINS, Requirement.STORE));
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -80,6 +80,7 @@
         private long incarnation;
         private boolean serving;
         private boolean storeLost;
+        private boolean keepsStreamOrigins;
         private Paths paths = Paths.ALL_REACHABLE;
         private Map<FeedName, Long> positions = Map.of();
         private List<QueueDelayEstimate> waits = List.of();
@@ -124,6 +125,7 @@
         peer.downAt = Instant.EPOCH;
         peer.serving = heartbeat.serving();
         peer.storeLost = heartbeat.storeLost();
+        peer.keepsStreamOrigins = heartbeat.keepsStreamOrigins();
         peer.paths = heartbeat.paths();
         peer.positions = heartbeat.positions();
         peer.waits = heartbeat.waits();
@@ -175,11 +177,25 @@
         return peer != null
                 && peer.serving
                 && up(peer, now)
-                && !(duty.needsStore() && peer.storeLost)
-                && !(duty.needsTunnels() && !peer.paths.acceptsTunnels())
+                && meets(duty, peer)
                 && duty.pool().filter(peer.paths.unreachable()::contains).isEmpty();
     }
 
+    private static boolean meets(Duty duty, Peer peer) {
+        for (Duty.Requirement requirement : duty.requirements()) {
+            boolean met =
+                    switch (requirement) {
+                        case STORE -> !peer.storeLost;
+                        case TUNNELS -> peer.paths.acceptsTunnels();
+                        case STREAM_ORIGINS -> peer.keepsStreamOrigins;
+                    };
+            if (!met) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Whether a peer has reported that it cannot connect to the upstreams of a pool. */
     public boolean reportsUnreachable(VmId id, PoolId pool) {
         return id.equals(self)
--- a/wagtaillug-core/src/main/java/org/wagtaillug/result/ResultCode.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/result/ResultCode.java
@@ -56,6 +56,8 @@
     STEP_FAILED(304, 503),
     /** The upstreams that were tried are at capacity; none has run the request. */
     UPSTREAM_FULL(305, 503),
+    /** No upstream of the version that began the interrupted stream is available, or that version is not known. */
+    STREAM_NOT_RESUMABLE(306, 503),
     /** The outcome of a non-idempotent call is unknown. */
     OUTCOME_UNKNOWN(400, 502),
     /** The key is older than the retention of the log. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/route/Route.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/route/Route.java
@@ -146,6 +146,16 @@
     /** Odd multiplier, so that ids that differ only in their last character are not mapped to adjacent positions. */
     private static final int HASH_MULTIPLIER = 0x9E3779B1;
 
+    /** Whether requests are distributed to a pool. */
+    public boolean uses(PoolId pool) {
+        for (WeightedPool weighted : pools) {
+            if (weighted.pool().equals(pool)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The pools to which requests are distributed, with their weights. */
     public List<WeightedPool> pools() {
         return pools;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/route/RouteTable.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/route/RouteTable.java
@@ -34,6 +34,13 @@
         return Optional.empty();
     }
 
+    /** Whether any route has streams that may be resumed. */
+    boolean streamsResumable() {
+        return byHost.values().stream()
+                .flatMap(List::stream)
+                .anyMatch(route -> route.kind() == RouteKind.STREAM && route.resumable());
+    }
+
     /** The number of routes. */
     public int size() {
         return byHost.values().stream().mapToInt(List::size).sum();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/route/ServingConfiguration.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/route/ServingConfiguration.java
@@ -33,6 +33,11 @@
         return Optional.ofNullable(pools.get(id));
     }
 
+    /** Whether callers may take up interrupted streams of any route. */
+    public boolean streamsResumable() {
+        return routes.streamsResumable();
+    }
+
     /** The pools whose calls are scheduled in batches, in the order of their ids. */
     public List<PoolId> scheduledPools() {
         List<PoolId> scheduled = new ArrayList<>();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -14,7 +14,6 @@
 import org.wagtaillug.directory.VersionRule;
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.DomainId;
-import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.membership.Rendezvous;
 import org.wagtaillug.policy.PolicyFeature;
@@ -126,9 +125,9 @@
         return eligible;
     }
 
-    /** Whether what upstreams announce allows a request to an untried one by a time. */
-    public boolean announcementsAllow(PoolId pool, Set<VmId> tried, Instant time, Instant now) {
-        return directory.usable(pool).stream()
+    /** Whether what upstreams announce allows a request to an untried one of them by a time. */
+    public boolean announcementsAllow(List<Upstream> upstreams, Set<VmId> tried, Instant time, Instant now) {
+        return upstreams.stream()
                 .anyMatch(upstream -> !tried.contains(upstream.id()) && limits.announcementsAllow(upstream, time, now));
     }
 
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
@@ -0,0 +1,214 @@
+package org.wagtaillug.serving;
+
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.wagtaillug.directory.Upstream;
+import org.wagtaillug.directory.UpstreamDirectory;
+import org.wagtaillug.directory.VersionKey;
+import org.wagtaillug.directory.VersionRule;
+import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.route.PoolProfile;
+import org.wagtaillug.route.ServingConfiguration;
+import org.wagtaillug.routing.UpstreamChooser;
+
+/**
+ * Selects the upstream and the path of the next attempt of a request. A stream that has begun goes on only at upstreams
+ * of the pool and version that began it.
+ */
+final class AttemptSelection {
+    private final UpstreamDirectory directory;
+    private final UpstreamChooser chooser;
+    private final UpstreamPaths paths;
+    private final RolloutExchange rollouts;
+    private final StreamExchange streams;
+    private final FlowLog log;
+
+    /** The next attempt, or why there is none. */
+    sealed interface Selection {
+        /**
+         * The request can be sent.
+         *
+         * @param upstream the target
+         * @param path how the request gets there
+         * @param prompt the prompt by which the target was chosen
+         */
+        record Selected(Upstream upstream, UpstreamPath path, UpstreamChooser.Prompt prompt) implements Selection {}
+
+        /**
+         * An upstream or a path may become available.
+         *
+         * @param reachable whether there is a path, so that only the limits of the upstreams stand against an attempt
+         */
+        record Unavailable(boolean reachable) implements Selection {}
+
+        /**
+         * No attempt is possible.
+         *
+         * @param code the result of the request
+         * @param message the cause
+         */
+        record Impossible(ResultCode code, String message) implements Selection {}
+    }
+
+    AttemptSelection(
+            UpstreamState upstreams,
+            UpstreamChooser chooser,
+            RolloutExchange rollouts,
+            StreamExchange streams,
+            FlowLog log) {
+        this.directory = upstreams.directory();
+        this.paths = upstreams.paths();
+        this.chooser = chooser;
+        this.rollouts = rollouts;
+        this.streams = streams;
+        this.log = log;
+    }
+
+    /**
+     * Selects the next attempt.
+     *
+     * @param inputsDomain the failure domain that holds most of the inputs
+     */
+    Selection select(Flow flow, ServingConfiguration configuration, Optional<DomainId> inputsDomain, Instant now) {
+        Optional<PoolProfile> pool = configuration.pool(flow.pool());
+        if (pool.isEmpty() || directory.usable(flow.pool()).isEmpty()) {
+            return new Selection.Impossible(
+                    ResultCode.NO_UPSTREAM, "pool \"" + flow.pool() + "\" has no available upstream");
+        }
+        Optional<Selection.Impossible> obstacle = obstacleToContinue(flow, now);
+        if (obstacle.isPresent()) {
+            return obstacle.get();
+        }
+        return switch (paths.choose(flow.pool(), flow.request().id(), flow.attempts(), now)) {
+            case UpstreamPaths.Choice.Found found -> select(flow, pool.get(), found.path(), inputsDomain, now);
+            case UpstreamPaths.Choice.Searching ignored -> new Selection.Unavailable(false);
+            case UpstreamPaths.Choice.None ignored ->
+                new Selection.Impossible(ResultCode.NO_UPSTREAM, "no node has a path to pool \"" + flow.pool() + "\"");
+        };
+    }
+
+    private Selection select(
+            Flow flow, PoolProfile pool, UpstreamPath path, Optional<DomainId> inputsDomain, Instant now) {
+        UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
+                flow.request().promptSegments(),
+                flow.request().promptTokens(),
+                inputsDomain,
+                flow.estimatedInputBytes());
+        Optional<Upstream> chosen = choose(flow, pool, flow.excludedUpstreams(path), prompt, now);
+        return chosen.isPresent()
+                ? new Selection.Selected(chosen.get(), path, prompt)
+                : new Selection.Unavailable(true);
+    }
+
+    private Optional<Upstream> choose(
+            Flow flow, PoolProfile pool, Set<VmId> excluded, UpstreamChooser.Prompt prompt, Instant now) {
+        if (flow.stream().isPresent()) {
+            Set<VmId> doubtful = new HashSet<>(excluded);
+            for (Upstream upstream : usable(flow, now)) {
+                if (directory.mayHaveRestarted(upstream.id(), now)) {
+                    doubtful.add(upstream.id());
+                }
+            }
+            return continuation(flow, now).flatMap(rule -> chooser.choose(pool, rule, doubtful, prompt, now));
+        }
+        VersionRule rule = rollouts.rule(flow.pool(), flow.request().id(), flow.attempts() == 0);
+        return chooser.choose(pool, rule, excluded, prompt, now)
+                .or(() -> chooser.choose(pool, rollouts.stableVersions(flow.pool()), excluded, prompt, now));
+    }
+
+    /** The upstreams that may get a request, whether they have been tried or not. */
+    private List<Upstream> usable(Flow flow, Instant now) {
+        if (flow.stream().isEmpty()) {
+            return directory.usable(flow.pool());
+        }
+        return continuation(flow, now)
+                .map(rule -> directory.usable(flow.pool(), rule))
+                .orElse(List.of());
+    }
+
+    /** Which versions may continue the stream of a request; empty if none may. */
+    private Optional<VersionRule> continuation(Flow flow, Instant now) {
+        if (!(streams.find(flow.stream().get(), now) instanceof StreamExchange.Finding.Found found)
+                || !found.origin().pool().equals(flow.pool())) {
+            return Optional.empty();
+        }
+        VersionKey version = found.origin().version().get();
+        boolean permitted = directory.usable(flow.pool(), new VersionRule.Exactly(version)).stream()
+                .allMatch(upstream -> rollouts.permitsContinuation(
+                        flow.pool(), upstream.listing().version()));
+        return permitted ? Optional.of(new VersionRule.Exactly(version)) : Optional.empty();
+    }
+
+    /**
+     * Binds a request to the stream that its caller takes up, once it is known where that began.
+     *
+     * @return why the stream cannot go on, or not yet; empty if the request is bound
+     */
+    Optional<Selection> bindToStream(Flow flow, Instant now) {
+        return switch (origin(flow, now)) {
+            case StreamExchange.Finding.Searching ignored -> Optional.of(new Selection.Unavailable(true));
+            case StreamExchange.Finding.Unknown unknown ->
+                Optional.of(new Selection.Impossible(
+                        ResultCode.STREAM_NOT_RESUMABLE,
+                        "it is not known at which version the stream began: " + unknown.reason()));
+            case StreamExchange.Finding.Found found -> {
+                flow.bind(found.origin().stream(), found.origin().pool());
+                log.streamContinues(flow, found.origin(), now);
+                yield obstacleToContinue(flow, now).map(obstacle -> obstacle);
+            }
+        };
+    }
+
+    private StreamExchange.Finding origin(Flow flow, Instant now) {
+        Optional<RequestId> stream = flow.request().resumption().flatMap(Resumption::stream);
+        if (stream.isEmpty()) {
+            return streams.onlyOrigin(flow, directory.recentVersions(flow.pool()), now);
+        }
+        StreamExchange.Finding finding = streams.find(stream.get(), now);
+        if (finding instanceof StreamExchange.Finding.Found found
+                && !flow.route().uses(found.origin().pool())) {
+            return new StreamExchange.Finding.Unknown(
+                    "its route no longer uses pool \"" + found.origin().pool() + "\"");
+        }
+        return finding;
+    }
+
+    /** Why the stream of a request cannot go on now or later; empty if it can, or if the request begins a new one. */
+    Optional<Selection.Impossible> obstacleToContinue(Flow flow, Instant now) {
+        if (flow.stream().isEmpty() || !usable(flow, now).isEmpty()) {
+            return Optional.empty();
+        }
+        String message = "no available upstream of pool \"" + flow.pool() + "\" has the version at which stream \""
+                + flow.stream().get() + "\" began";
+        return Optional.of(new Selection.Impossible(ResultCode.STREAM_NOT_RESUMABLE, message));
+    }
+
+    /** The failure domain of the upstream that would be selected now; empty if there is none. */
+    Optional<DomainId> expectedDomain(Flow flow, ServingConfiguration configuration, Instant now) {
+        UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
+                flow.request().promptSegments(), flow.request().promptTokens(), Optional.empty(), 0);
+        return configuration
+                .pool(flow.pool())
+                .flatMap(pool -> choose(flow, pool, flow.triedUpstreams(), prompt, now))
+                .map(Upstream::domain);
+    }
+
+    /** Whether another upstream may get the request if the one that it is being sent to stops responding. */
+    boolean retryableElsewhere(Flow flow, Instant now) {
+        boolean attemptsLeft = flow.executions() + 1 < flow.route().attempts();
+        boolean untried = usable(flow, now).stream()
+                .anyMatch(upstream -> !flow.triedUpstreams().contains(upstream.id()));
+        return flow.route().repeatable() && attemptsLeft && untried;
+    }
+
+    /** Whether what upstreams announce allows an attempt at an untried one by a time. */
+    boolean announcementsAllow(Flow flow, Instant until, Instant now) {
+        return chooser.announcementsAllow(usable(flow, now), flow.triedUpstreams(), until, now);
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -47,7 +47,7 @@
     private final Map<FeedName, Boolean> reachable = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Instant> restoredAt = new EnumMap<>(FeedName.class);
     private BiConsumer<FeedName, Instant> restored = (name, at) -> {};
-    private final Set<FeedName> active = EnumSet.complementOf(EnumSet.of(FeedName.ROLLOUTS));
+    private final Set<FeedName> active = EnumSet.complementOf(EnumSet.of(FeedName.ROLLOUTS, FeedName.STREAMS));
     private boolean reader = true;
 
     /** Applies feed records. */
@@ -110,7 +110,11 @@
     /** The position of each feed; 0 for a feed with unknown earlier records. */
     Map<FeedName, Long> positions() {
         Map<FeedName, Long> positions = new EnumMap<>(FeedName.class);
-        feeds.forEach((name, feed) -> positions.put(name, position(feed)));
+        feeds.forEach((name, feed) -> {
+            if (name.relayed()) {
+                positions.put(name, position(feed));
+            }
+        });
         return positions;
     }
 
@@ -121,7 +125,7 @@
     /** Whether this node needs the feed updates of its peers. */
     boolean follows(Instant now) {
         for (FeedName name : active) {
-            if (!reader || readers.get(name).cutOff(now, STORE_READ_TIMEOUT)) {
+            if (name.relayed() && (!reader || readers.get(name).cutOff(now, STORE_READ_TIMEOUT))) {
                 return true;
             }
         }
@@ -165,7 +169,7 @@
         long from = feeds.get(name).next();
         boolean recentlyFailing = unstable(name, now);
         List<FeedRecord> changes = apply(name, readers.get(name).onRecords(read.batch(), now), recentlyFailing, now);
-        if (reader && feeds.get(name).complete()) {
+        if (reader && name.relayed() && feeds.get(name).complete()) {
             relay(
                     new ServingMessage.FeedUpdate(
                             name, from, new FeedBatch(feeds.get(name).next(), false, changes), recentlyFailing),
@@ -277,7 +281,7 @@
     /** Starts the reads that are due. */
     void read(Instant now) {
         for (FeedName name : active) {
-            Optional<FeedReader.Read> read = readers.get(name).next(!reader, now);
+            Optional<FeedReader.Read> read = readers.get(name).next(!reader && name.relayed(), now);
             read.ifPresent(wanted -> effects.accept(new ServingEffect.ReadFeed(name, wanted)));
         }
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -13,6 +13,7 @@
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.id.CustomerId;
 import org.wagtaillug.id.PoolId;
+import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.route.Route;
 import org.wagtaillug.route.RouteKind;
@@ -27,7 +28,7 @@
     private final Instant arrivedAt;
     private final Instant deadline;
     private final Instant firstEventDeadline;
-    private final PoolId pool;
+    private PoolId pool;
     private final Map<Integer, List<StepResult>> results = new HashMap<>();
     private final Map<Integer, Instant> orderTimes = new HashMap<>();
     private final Set<Integer> released = new HashSet<>();
@@ -39,6 +40,7 @@
     private Optional<Instant> firstEventAt = Optional.empty();
     private Optional<SlowestStep> slowestStep = Optional.empty();
     private Optional<String> lastEvent;
+    private Optional<RequestId> stream = Optional.empty();
     private int attempt;
     private int attempts;
     private int executions;
@@ -109,6 +111,22 @@
         return pool;
     }
 
+    /** Id of the request that brought the first event of this stream; empty until an event has been passed. */
+    Optional<RequestId> stream() {
+        return stream;
+    }
+
+    /** Whether the caller takes up a stream of which it is not known yet where it began. */
+    boolean awaitsOrigin() {
+        return route.kind() == RouteKind.STREAM && lastEvent.isPresent() && stream.isEmpty();
+    }
+
+    /** Binds this request to a stream, which goes on in the pool in which it began. */
+    void bind(RequestId boundStream, PoolId boundPool) {
+        stream = Optional.of(boundStream);
+        pool = boundPool;
+    }
+
     /** The steps for which this request has items. */
     List<Step> steps() {
         List<Step> steps = new ArrayList<>();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -10,6 +10,7 @@
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.serving.ServingEffect.Outcome;
+import org.wagtaillug.stream.StreamOrigin;
 
 /** Writes the log lines of a request, from its arrival to its end. docs/OPERATIONS.md describes them. */
 final class FlowLog {
@@ -111,6 +112,15 @@
                 .field("version", upstream.listing().version()));
     }
 
+    /** Logs that a caller's stream goes on where it began. */
+    void streamContinues(Flow flow, StreamOrigin origin, Instant now) {
+        write(line("stream_continues", flow)
+                .field("stream", origin.stream())
+                .field("pool", origin.pool())
+                .field("version", origin.version().map(Object::toString).orElse("-"))
+                .field("since_arrival_ms", millis(flow.arrivedAt(), now)));
+    }
+
     private static Decision.Builder withNotice(Decision.Builder line, UpstreamNotice notice) {
         notice.rateLimit().ifPresent(limit -> line.field("rate_limit", limit));
         if (notice.leaving()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -34,6 +34,12 @@
     private static final String ROLLOUT_DUTY = "rollouts";
     private static final String EXCHANGE_DUTY = "exchange";
 
+    /** The duty to keep the origins of streams. */
+    static final String STREAM_KEEPER_DUTY = "streams";
+
+    /** The duty to write the origins of streams to the store, with the same ranking. */
+    static final String STREAM_WRITER_DUTY = "streams/store";
+
     /** Each node has a ranking of its own, so that nodes without a path divide their requests among many peers. */
     private static final String TUNNEL_DUTY = "tunnels of ";
 
@@ -45,6 +51,7 @@
     private final Consumer<ServingEffect> effects;
     private final BooleanSupplier acceptsWork;
     private List<PoolId> scheduledPools = List.of();
+    private boolean streamsResumable;
     private Set<VmId> connected = Set.of();
     private boolean rosterRead;
     private boolean rosterChanged;
@@ -74,6 +81,7 @@
 
     void configure(ServingConfiguration latest) {
         scheduledPools = latest.scheduledPools();
+        streamsResumable = latest.streamsResumable();
         updateDuties();
     }
 
@@ -101,6 +109,11 @@
             duties.put(EXCHANGE_DUTY, Duty.of(roster.ranking(EXCHANGE_DUTY)));
         }
         duties.put(FEED_DUTY, Duty.ofStoreReaders(roster.ranking(FEED_DUTY, member.domain()), FEED_READERS));
+        if (streamsResumable) {
+            List<VmId> ranking = roster.ranking(STREAM_KEEPER_DUTY);
+            duties.put(STREAM_KEEPER_DUTY, Duty.ofStreamKeepers(ranking, StreamExchange.KEEPERS));
+            duties.put(STREAM_WRITER_DUTY, Duty.ofStreamWriter(ranking));
+        }
         if (rolloutInProgress) {
             duties.put(ROLLOUT_DUTY, Duty.ofStoreReaders(roster.ranking(ROLLOUT_DUTY), 1));
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.wagtaillug.batch.BatchOrder;
 import org.wagtaillug.batch.BatchOutcome;
@@ -15,10 +14,8 @@
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
-import org.wagtaillug.directory.VersionRule;
 import org.wagtaillug.health.EngineTimes;
 import org.wagtaillug.health.UpstreamHealth;
-import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
@@ -30,7 +27,6 @@
 import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.retry.RetryBudget;
 import org.wagtaillug.route.Customer;
-import org.wagtaillug.route.PoolProfile;
 import org.wagtaillug.route.Route;
 import org.wagtaillug.route.RouteKind;
 import org.wagtaillug.route.ServingConfiguration;
@@ -72,7 +68,8 @@
     private final ServingSetup.RetryLimits retryLimits;
     private final RolloutExchange rollouts;
     private final NoticeExchange notices;
-    private final UpstreamPaths paths;
+    private final StreamExchange streams;
+    private final AttemptSelection selection;
     private final AttemptOutcomes outcomes;
     private final Shutdown shutdown;
     private final RemainingTimeEstimate remainingTime = new RemainingTimeEstimate();
@@ -95,25 +92,28 @@
             StepOrders orders,
             RolloutExchange rollouts,
             NoticeExchange notices,
+            StreamExchange streams,
             Shutdown shutdown,
             Consumer<ServingEffect> effects) {
         this.directory = upstreams.directory();
         this.health = upstreams.health();
-        this.paths = upstreams.paths();
         this.outcomes = new AttemptOutcomes(upstreams);
         this.roster = roster;
         this.notices = notices;
         this.features = setup.features();
         this.chooser = new UpstreamChooser(
                 directory, health, notices.upstreamLimits(roster, setup.coldBound()), setup.domain(), features);
+        this.log = new FlowLog(effects);
+        this.streams = streams;
+        this.selection = new AttemptSelection(upstreams, chooser, rollouts, streams, log);
         StepTimes times = new StepTimes(engineTimes, features);
         this.pathEstimate = new PathEstimate(times);
-        this.steps = new FlowSteps(directory, orders, times, this::expectedDomain, features);
+        this.steps = new FlowSteps(
+                directory, orders, times, (flow, now) -> selection.expectedDomain(flow, configuration, now), features);
         this.retryLimits = setup.retryLimits();
         this.rollouts = rollouts;
         this.shutdown = shutdown;
         this.effects = effects;
-        this.log = new FlowLog(effects);
         this.inputs = new InputRelease(steps, engineTimes, features, log);
     }
 
@@ -222,6 +222,9 @@
 
     /** Orders the steps that are due, or sends the request when all steps are completed. */
     private void advance(Flow flow, Instant now) {
+        if (flow.awaitsOrigin() && !bindToStream(flow, now)) {
+            return;
+        }
         if (flow.stepsCompleted()) {
             send(flow, now);
             return;
@@ -238,6 +241,24 @@
         }
     }
 
+    /** Binds a request to the stream that its caller takes up, if that can go on. Returns whether the request is bound. */
+    private boolean bindToStream(Flow flow, Instant now) {
+        Optional<AttemptSelection.Selection> obstacle = selection.bindToStream(flow, now);
+        if (obstacle.isPresent() && obstacle.get() instanceof AttemptSelection.Selection.Impossible impossible) {
+            refuse(flow, impossible.code(), Duration.ZERO, impossible.message(), now);
+        }
+        return obstacle.isEmpty();
+    }
+
+    /** Continues requests whose streams have been found, or are not known to any node. */
+    void onStreamsAnswered(Instant now) {
+        for (Flow flow : List.copyOf(flows.values())) {
+            if (flow.awaitsOrigin()) {
+                advance(flow, now);
+            }
+        }
+    }
+
     void onStepAnswer(StepOrders.Answer answer, Instant now) {
         BatchOrder order = answer.order();
         Flow flow = flows.get(order.request());
@@ -301,47 +322,16 @@
             fail(flow, ResultCode.SHUTTING_DOWN, SHUTTING_DOWN_MESSAGE, now);
             return;
         }
-        Optional<PoolProfile> pool = configuration.pool(flow.pool());
-        if (pool.isEmpty() || directory.usable(flow.pool()).isEmpty()) {
-            fail(flow, ResultCode.NO_UPSTREAM, "pool \"" + flow.pool() + "\" has no available upstream", now);
-            return;
-        }
-        switch (paths.choose(flow.pool(), flow.request().id(), flow.attempts(), now)) {
-            case UpstreamPaths.Choice.Found found -> send(flow, pool.get(), found.path(), now);
-            case UpstreamPaths.Choice.Searching ignored -> waitForUpstream(flow, false, now);
-            case UpstreamPaths.Choice.None ignored ->
-                fail(flow, ResultCode.NO_UPSTREAM, "no node has a path to pool \"" + flow.pool() + "\"", now);
-        }
-    }
-
-    private void send(Flow flow, PoolProfile pool, UpstreamPath path, Instant now) {
-        Set<VmId> excluded = flow.excludedUpstreams(path);
-        UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
-                flow.request().promptSegments(),
-                flow.request().promptTokens(),
-                steps.domainOf(flow.inputResults()),
-                flow.estimatedInputBytes());
-        Optional<Upstream> chosen = chooser.choose(pool, versionRule(flow), excluded, prompt, now)
-                .or(() -> chooser.choose(pool, rollouts.stableVersions(flow.pool()), excluded, prompt, now));
-        if (chosen.isEmpty()) {
-            waitForUpstream(flow, true, now);
-            return;
+        switch (selection.select(flow, configuration, steps.domainOf(flow.inputResults()), now)) {
+            case AttemptSelection.Selection.Selected selected -> {
+                admissionDeadlines.remove(flow.request().id());
+                send(flow, selected, now);
+            }
+            case AttemptSelection.Selection.Unavailable unavailable ->
+                waitForUpstream(flow, unavailable.reachable(), now);
+            case AttemptSelection.Selection.Impossible impossible ->
+                fail(flow, impossible.code(), impossible.message(), now);
         }
-        admissionDeadlines.remove(flow.request().id());
-        send(flow, chosen.get(), path, prompt, now);
-    }
-
-    private VersionRule versionRule(Flow flow) {
-        return rollouts.rule(flow.pool(), flow.request().id(), flow.attempts() == 0);
-    }
-
-    private Optional<DomainId> expectedDomain(Flow flow, Instant now) {
-        UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
-                flow.request().promptSegments(), flow.request().promptTokens(), Optional.empty(), 0);
-        return configuration
-                .pool(flow.pool())
-                .flatMap(pool -> chooser.choose(pool, versionRule(flow), flow.triedUpstreams(), prompt, now))
-                .map(Upstream::domain);
     }
 
     /**
@@ -352,7 +342,7 @@
     private void waitForUpstream(Flow flow, boolean reachable, Instant now) {
         Duration maxWait = flow.route().latencyTarget().dividedBy(ADMISSION_WAIT_DIVISOR);
         Instant until = admissionDeadlines.computeIfAbsent(flow.request().id(), id -> now.plus(maxWait));
-        boolean noneInTime = reachable && !chooser.announcementsAllow(flow.pool(), flow.triedUpstreams(), until, now);
+        boolean noneInTime = reachable && !selection.announcementsAllow(flow, until, now);
         if (!noneInTime && now.isBefore(until)) {
             return;
         }
@@ -364,9 +354,11 @@
         fail(flow, ResultCode.NO_UPSTREAM, "no path to pool \"" + flow.pool() + "\" was found in time", now);
     }
 
-    private void send(Flow flow, Upstream upstream, UpstreamPath path, UpstreamChooser.Prompt prompt, Instant now) {
+    private void send(Flow flow, AttemptSelection.Selection.Selected selected, Instant now) {
+        Upstream upstream = selected.upstream();
+        UpstreamChooser.Prompt prompt = selected.prompt();
         lastAttempt++;
-        flow.startAttempt(upstream, path, lastAttempt, now);
+        flow.startAttempt(upstream, selected.path(), lastAttempt, now);
         health.onStarted(upstream.id(), now);
         long keptTokens = chooser.cachedTokens(upstream, prompt, now);
         chooser.onSent(upstream.id(), prompt, now);
@@ -380,20 +372,12 @@
                 flow.inputHandles(),
                 flow.lastEvent(),
                 stream,
-                retryableElsewhere(flow),
+                selection.retryableElsewhere(flow, now),
                 flow.needsFreshConnection(),
-                path)));
+                selected.path())));
         log.send(flow, upstream, health.inFlight(upstream.id()), keptTokens, now);
     }
 
-    /** Whether another upstream may get the request if the one that it is being sent to stops responding. */
-    private boolean retryableElsewhere(Flow flow) {
-        boolean attemptsLeft = flow.executions() + 1 < flow.route().attempts();
-        boolean untried =
-                directory.usable(flow.pool()).size() > flow.triedUpstreams().size();
-        return flow.route().repeatable() && attemptsLeft && untried;
-    }
-
     void onAnswerStarted(ServingEvent.AnswerStarted started, Instant now) {
         Flow flow = flows.get(started.request());
         if (flow == null || flow.attempt() != started.attempt() || flow.target().isEmpty()) {
@@ -414,14 +398,22 @@
         inputs.onAnswerStarted(flow, now);
     }
 
-    void onEventPassed(ServingEvent.EventPassed passed) {
+    void onEventPassed(ServingEvent.EventPassed passed, Instant now) {
         Flow flow = flows.get(passed.request());
         if (flow == null || flow.attempt() != passed.attempt() || flow.target().isEmpty()) {
             return;
         }
-        if (flow.lastEvent().isEmpty()) {
-            log.streamBegan(flow, flow.target().get());
+        recordBeginning(flow, flow.target().get(), now);
+    }
+
+    /** Records which upstream has sent the first event of a stream; later events must come from its version. */
+    private void recordBeginning(Flow flow, Upstream upstream, Instant now) {
+        if (flow.stream().isPresent()) {
+            return;
         }
+        flow.bind(flow.request().id(), flow.pool());
+        log.streamBegan(flow, upstream);
+        streams.onBegan(flow, upstream, now);
     }
 
     /** Records that the upstream has finished reading the prompt, or will not read it. */
@@ -462,7 +454,7 @@
                 onNotRun(flow, notRun.status(), now);
             }
             case SendEnd.Failed ignored -> onFailed(flow, now);
-            case SendEnd.Broken broken -> onBroken(flow, broken, now);
+            case SendEnd.Broken broken -> onBroken(flow, upstream, broken, now);
         }
     }
 
@@ -520,7 +512,10 @@
         send(flow, now);
     }
 
-    private void onBroken(Flow flow, SendEnd.Broken broken, Instant now) {
+    private void onBroken(Flow flow, Upstream upstream, SendEnd.Broken broken, Instant now) {
+        if (broken.lastEvent().isPresent()) {
+            recordBeginning(flow, upstream, now);
+        }
         flow.lastEvent(broken.lastEvent());
         if (!flow.answerStarted()) {
             flow.recordExecution();
@@ -637,7 +632,7 @@
                 onDeadline(flow, now);
                 continue;
             }
-            if (!flow.stepsCompleted()) {
+            if (flow.awaitsOrigin() || !flow.stepsCompleted()) {
                 advance(flow, now);
             }
             inputs.onTick(flow, now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RolloutExchange.java
@@ -185,6 +185,17 @@
         return rollouts.rule(pool, false);
     }
 
+    /**
+     * Whether an upstream of a version may continue a stream that began at that version. A candidate that is still being
+     * tested gets no more than its share of first attempts.
+     */
+    boolean permitsContinuation(PoolId pool, String version) {
+        double share = rollouts.share(pool).orElse(0.0);
+        boolean tested = fresh && share > setup.rolloutLimits().ratio();
+        return stableVersions(pool).allows(version)
+                || (tested && rollouts.rule(pool, true).allows(version));
+    }
+
     private static double hashFraction(RequestId request) {
         return Integer.toUnsignedLong(request.value().hashCode() * HASH_MULTIPLIER) / HASH_RANGE;
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -62,6 +62,7 @@
     private final RolloutExchange rollouts;
     private final NoticeExchange notices;
     private final UpstreamPaths paths;
+    private final StreamExchange streams;
     private final StepOrders orders;
     private final RequestFlows flows;
     private final Shutdown shutdown;
@@ -84,6 +85,7 @@
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
         orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
+        streams = new StreamExchange(setup, peers, () -> !shutdown.started(), effects::add);
         flows = new RequestFlows(
                 setup,
                 new UpstreamState(directory, health, paths),
@@ -91,6 +93,7 @@
                 orders,
                 rollouts,
                 notices,
+                streams,
                 shutdown,
                 effects::add);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, currentTime));
@@ -105,7 +108,7 @@
             case ServingEvent.CallerDisconnected disconnected ->
                 flows.onCallerDisconnected(disconnected.request(), now);
             case ServingEvent.AnswerStarted started -> flows.onAnswerStarted(started, now);
-            case ServingEvent.EventPassed passed -> flows.onEventPassed(passed);
+            case ServingEvent.EventPassed passed -> flows.onEventPassed(passed, now);
             case ServingEvent.SendEnded ended -> flows.onSendEnded(ended, now);
             case ServingEvent.BatchCallEnded ended -> {
                 orders.scheduler()
@@ -131,7 +134,7 @@
                     membership.notifyFollowers(heartbeat(true, now), now);
                 }
             }
-            case ServingEvent.RecordWritten written -> membership.onRecordWritten(written, now);
+            case ServingEvent.RecordWritten written -> onRecordWritten(written, now);
             case ServingEvent.DrainStarted started -> onDrainStarted(started.requestedAt(), now);
             case ServingEvent.PortsClosing ignored -> shutdown.closePorts();
         }
@@ -147,6 +150,16 @@
         return result;
     }
 
+    private void onRecordWritten(ServingEvent.RecordWritten written, Instant now) {
+        switch (written.feed()) {
+            case MEMBERSHIP -> membership.onRecordWritten(written, now);
+            case STREAMS -> streams.onWritten(written);
+            case CONFIGURATION, DIRECTORY, ROLLOUTS -> {
+                // A rollout status that was not written is written again when it is due.
+            }
+        }
+    }
+
     private void onTick(Instant now) {
         if (!now.isBefore(housekeepingDue)) {
             housekeepingDue = now.plus(HOUSEKEEPING_INTERVAL);
@@ -174,6 +187,8 @@
         paths.onTick(now);
         membership.onTick(feeds.complete(FeedName.MEMBERSHIP), orders.partners(), reply -> heartbeat(reply, now), now);
         feeds.setReader(membership.readsStore(now));
+        streams.onTick(feeds.fresh(FeedName.STREAMS, now), now);
+        feeds.setActive(FeedName.STREAMS, streams.keeps());
         onRolloutTick(now);
         feeds.catchUp(now);
     }
@@ -234,7 +249,8 @@
                 orders.scheduler().waits(now),
                 notices.rateLimits().reports(now),
                 directory.departures(now),
-                paths.report());
+                paths.report(),
+                true);
     }
 
     private void onPeerMessage(NodeId sender, ServingMessage message, Instant now) {
@@ -243,6 +259,7 @@
                 notices.onHeartbeat(sender, heartbeat, now);
                 if (membership.onHeartbeat(sender, heartbeat, reply -> heartbeat(reply, now), now)) {
                     orders.onPeerRestarted(sender.vm(), now);
+                    streams.onPeerRestarted(sender.vm());
                 }
             }
             case ServingMessage.FeedRequest request -> feeds.onFeedRequest(sender.vm(), request);
@@ -253,6 +270,12 @@
             case ServingMessage.BatchCancellation cancellation ->
                 orders.onBatchCancellation(sender, cancellation.number(), now);
             case ServingMessage.RolloutReport report -> rollouts.onReport(report, now);
+            case ServingMessage.StreamsBegan began -> streams.onTold(began, now);
+            case ServingMessage.StreamQuery query -> streams.onQuery(sender.vm(), query, now);
+            case ServingMessage.StreamReply reply -> {
+                streams.onReply(sender.vm(), reply, now);
+                flows.onStreamsAnswered(now);
+            }
             case ServingMessage.ResultsReleased released -> orders.scheduler().onReleased(released.results());
         }
     }
@@ -282,6 +305,10 @@
                 rollouts.onRecord(record, now);
                 yield true;
             }
+            case STREAMS -> {
+                streams.onRecord(record, now);
+                yield true;
+            }
         };
     }
 
@@ -289,6 +316,7 @@
         switch (name) {
             case MEMBERSHIP -> membership.onStoreRestored(now);
             case CONFIGURATION -> rollouts.onStoreRestored(now);
+            case STREAMS -> streams.onStoreRestored();
             case DIRECTORY, ROLLOUTS -> {
                 // Upstreams write their entries again; statuses are written with those of the configuration.
             }
@@ -353,6 +381,7 @@
                     health.onRestarted(listing.id());
                     flows.onRestarted(listing.id());
                     notices.onRestarted(listing, now);
+                    streams.onUpstreamRestarted(listing, now);
                 }
                 logUpstream(listing.id(), change, record);
                 return !known || !listing.remainingColdTime().isZero();
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
@@ -0,0 +1,358 @@
+package org.wagtaillug.serving;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.wagtaillug.directory.Listing;
+import org.wagtaillug.directory.Upstream;
+import org.wagtaillug.directory.VersionKey;
+import org.wagtaillug.feed.FeedName;
+import org.wagtaillug.feed.FeedPosition;
+import org.wagtaillug.feed.FeedRecord;
+import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.message.ServingMessage;
+import org.wagtaillug.node.Decision;
+import org.wagtaillug.peer.Peers;
+import org.wagtaillug.stream.StreamLookups;
+import org.wagtaillug.stream.StreamOrigin;
+import org.wagtaillug.stream.StreamOriginRecord;
+import org.wagtaillug.stream.StreamOrigins;
+
+/**
+ * Makes the origins of streams known to all nodes.
+ *
+ * <p>A few nodes, the keepers, are told of each stream when it begins and answer the queries of the others, so that the
+ * messages for a stream do not grow with the fleet. One of them writes the origins to the store, from which they are
+ * read after many nodes have failed together.
+ */
+final class StreamExchange {
+    /** The number of keepers. */
+    static final int KEEPERS = 3;
+
+    /** How long after its caller's deadline a stream may still be taken up. */
+    private static final Duration TAKE_UP_MARGIN = Duration.ofSeconds(5);
+
+    /** Allowance for the difference between the clocks of nodes and of upstreams. */
+    private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(500);
+
+    private static final Duration WRITE_INTERVAL = Duration.ofMillis(500);
+
+    /** Maximum number of origins in one message or record. */
+    private static final int MAX_ORIGINS = 100;
+
+    /** The keys of the store, which are overwritten in turn; at the write interval they hold about a minute. */
+    private static final int STORE_KEYS = 128;
+
+    private final VmId self;
+    private final Peers peers;
+    private final BooleanSupplier acceptsWork;
+    private final Consumer<ServingEffect> effects;
+    private final StreamOrigins origins = new StreamOrigins();
+    private final StreamLookups lookups = new StreamLookups();
+    private final Map<RequestId, Beginning> beginnings = new HashMap<>();
+    private final Map<String, List<RequestId>> writes = new HashMap<>();
+    private List<VmId> keepers = List.of();
+    private Set<VmId> informed = Set.of();
+    private boolean storeRead;
+    private long lastOffset = -1;
+    private int lastKey = -1;
+    private Instant writeDue = Instant.EPOCH;
+
+    /** How the first event of a stream came to a caller of this node. */
+    private record Beginning(Listing upstream, Instant sentAt, Instant at) {}
+
+    /** What this node knows of a stream. */
+    sealed interface Finding {
+        /**
+         * The stream can go on at upstreams of one pool and version.
+         *
+         * @param origin where it began
+         */
+        record Found(StreamOrigin origin) implements Finding {}
+
+        /** Other nodes have been asked. */
+        record Searching() implements Finding {}
+
+        /**
+         * It cannot be known where the stream may go on.
+         *
+         * @param reason the cause
+         */
+        record Unknown(String reason) implements Finding {}
+    }
+
+    StreamExchange(ServingSetup setup, Peers peers, BooleanSupplier acceptsWork, Consumer<ServingEffect> effects) {
+        this.self = setup.self().vm();
+        this.peers = peers;
+        this.acceptsWork = acceptsWork;
+        this.effects = effects;
+    }
+
+    /** Records that the first event of a stream was passed to a caller of this node. */
+    void onBegan(Flow flow, Upstream upstream, Instant now) {
+        if (!flow.route().resumable()) {
+            return;
+        }
+        RequestId stream = flow.request().id();
+        Duration lifetime = Duration.between(now, flow.deadline()).plus(TAKE_UP_MARGIN);
+        VersionKey version = VersionKey.of(upstream.listing().version());
+        StreamOrigin origin = new StreamOrigin(stream, upstream.pool(), Optional.of(version), lifetime);
+        beginnings.put(stream, new Beginning(upstream.listing(), flow.sentAt(), now));
+        origins.put(origin, now);
+        tell(List.of(origin));
+    }
+
+    private void tell(List<StreamOrigin> told) {
+        for (VmId keeper : keepers) {
+            tell(keeper, told);
+        }
+    }
+
+    private void tell(VmId keeper, List<StreamOrigin> told) {
+        if (!keeper.equals(self)) {
+            send(keeper, new ServingMessage.StreamsBegan(told));
+        }
+    }
+
+    private void send(VmId receiver, ServingMessage message) {
+        effects.accept(new ServingEffect.SendToPeer(receiver, message));
+    }
+
+    /** Finds where a stream may go on; asks other nodes if necessary. */
+    Finding find(RequestId stream, Instant now) {
+        Optional<StreamOrigin> known = origins.find(stream, now);
+        if (known.isPresent()) {
+            lookups.remove(stream);
+            return known.get().version().isPresent()
+                    ? new Finding.Found(known.get())
+                    : new Finding.Unknown("its first upstream restarted at another version at that time");
+        }
+        if (storeRead && keepers.contains(self)) {
+            lookups.onUnknown(self, List.of(stream));
+        }
+        return switch (lookups.lookUp(stream, keepers, now)) {
+            case SEARCHING -> {
+                query(now);
+                yield new Finding.Searching();
+            }
+            case UNKNOWN -> new Finding.Unknown("no node knows it");
+            case UNANSWERED -> new Finding.Unknown("the nodes that may know it did not answer");
+        };
+    }
+
+    /**
+     * Where a stream may go on whose caller does not name it: where all upstreams of its pool are of one version.
+     *
+     * @param versions the versions at which the pool has served recently
+     */
+    Finding onlyOrigin(Flow flow, Set<VersionKey> versions, Instant now) {
+        if (versions.size() != 1) {
+            return new Finding.Unknown(
+                    "its caller names no earlier request, and its pool has served at several versions");
+        }
+        RequestId stream = flow.request().id();
+        Duration lifetime = Duration.between(now, flow.deadline()).plus(TAKE_UP_MARGIN);
+        StreamOrigin origin =
+                new StreamOrigin(stream, flow.pool(), versions.stream().findFirst(), lifetime);
+        origins.put(origin, now);
+        return new Finding.Found(origin);
+    }
+
+    private void query(Instant now) {
+        for (VmId keeper : keepers) {
+            List<RequestId> queries = lookups.queries(keeper, now);
+            if (!queries.isEmpty() && !keeper.equals(self)) {
+                send(keeper, new ServingMessage.StreamQuery(queries));
+            }
+        }
+        lookups.onQueriesSent(now);
+    }
+
+    /** Processes the origins of streams that began at another node. */
+    void onTold(ServingMessage.StreamsBegan began, Instant now) {
+        began.origins().forEach(origin -> origins.put(origin, now));
+    }
+
+    /** Answers the query of another node. */
+    void onQuery(VmId sender, ServingMessage.StreamQuery query, Instant now) {
+        List<StreamOrigin> known = new ArrayList<>();
+        List<RequestId> unknown = new ArrayList<>();
+        for (RequestId stream : query.streams()) {
+            Optional<StreamOrigin> origin = origins.find(stream, now);
+            origin.ifPresent(known::add);
+            if (origin.isEmpty() && storeRead) {
+                unknown.add(stream);
+            }
+        }
+        if (!known.isEmpty() || !unknown.isEmpty()) {
+            send(sender, new ServingMessage.StreamReply(known, unknown));
+        }
+    }
+
+    /** Processes the answer to a query. */
+    void onReply(VmId sender, ServingMessage.StreamReply reply, Instant now) {
+        reply.known().forEach(origin -> origins.put(origin, now));
+        lookups.onUnknown(sender, reply.unknown());
+    }
+
+    /** Processes a record of the streams feed. */
+    void onRecord(FeedRecord record, Instant now) {
+        if (record.offset() > lastOffset) {
+            lastOffset = record.offset();
+            lastKey = keyNumber(record.key());
+        }
+        if (record.value().isEmpty()) {
+            return;
+        }
+        Either<String, List<StreamOrigin>> decoded =
+                StreamOriginRecord.decode(record.value().get());
+        if (decoded.isLeft()) {
+            log(Decision.builder("record_unreadable")
+                    .field("key", record.key())
+                    .field("offset", FeedPosition.text(record.offset()))
+                    .field("reason", decoded.getLeft()));
+            return;
+        }
+        origins.putSaved(decoded.get(), now);
+    }
+
+    private static int keyNumber(String key) {
+        try {
+            return Integer.parseInt(key);
+        } catch (NumberFormatException notANumber) {
+            return -1;
+        }
+    }
+
+    /** Processes the return of the store from an earlier copy, which may lack the latest origins. */
+    void onStoreRestored() {
+        origins.setAllUnsaved();
+    }
+
+    /** Processes the restart of a peer, which has forgotten what it was told. */
+    void onPeerRestarted(VmId peer) {
+        Set<VmId> others = new HashSet<>(informed);
+        others.remove(peer);
+        informed = others;
+    }
+
+    /**
+     * Corrects the origins of streams that began at an upstream which was listed late: it had restarted under its id, so
+     * that another version may have sent the first events.
+     */
+    void onUpstreamRestarted(Listing restarted, Instant now) {
+        Instant start = Instant.ofEpochMilli(restarted.incarnation());
+        List<StreamOrigin> corrected = new ArrayList<>();
+        beginnings.forEach((stream, beginning) -> {
+            boolean concerned = beginning.upstream().id().equals(restarted.id())
+                    && !beginning.upstream().version().equals(restarted.version())
+                    && beginning.at().isAfter(start.minus(CLOCK_TOLERANCE));
+            if (concerned) {
+                boolean later = beginning.sentAt().isAfter(start.plus(CLOCK_TOLERANCE));
+                Optional<VersionKey> version =
+                        later ? Optional.of(VersionKey.of(restarted.version())) : Optional.empty();
+                origins.find(stream, now)
+                        .ifPresent(origin ->
+                                corrected.add(new StreamOrigin(stream, origin.pool(), version, origin.lifetime())));
+            }
+        });
+        corrected.forEach(origin -> origins.put(origin, now));
+        if (!corrected.isEmpty()) {
+            tell(corrected);
+            log(Decision.builder("stream_origins_corrected")
+                    .field("upstream", restarted.id())
+                    .field("version", restarted.version())
+                    .field("streams", corrected.size()));
+        }
+    }
+
+    /** Whether this node keeps the origins of streams. */
+    boolean keeps() {
+        return keepers.contains(self);
+    }
+
+    /**
+     * Updates the keepers and sends what is due.
+     *
+     * @param feedRead whether this node has read the streams feed since it keeps the origins
+     */
+    void onTick(boolean feedRead, Instant now) {
+        storeRead = feedRead;
+        origins.expire(now);
+        beginnings.keySet().removeIf(stream -> origins.find(stream, now).isEmpty());
+        updateKeepers(now);
+        query(now);
+        VmId writer = peers.dutyHolder(PeerMembership.STREAM_WRITER_DUTY, acceptsWork.getAsBoolean(), now);
+        if (feedRead && writer.equals(self)) {
+            write(now);
+        }
+    }
+
+    private void updateKeepers(Instant now) {
+        List<VmId> current = peers.holders(PeerMembership.STREAM_KEEPER_DUTY, KEEPERS, acceptsWork.getAsBoolean(), now);
+        if (!current.equals(keepers)) {
+            log(Decision.builder("stream_keepers").field("keepers", current).field("streams", origins.size()));
+            keepers = current;
+        }
+        for (VmId keeper : current) {
+            if (!informed.contains(keeper)) {
+                inform(keeper, now);
+            }
+        }
+        informed = Set.copyOf(current);
+    }
+
+    /** Tells a new keeper of the streams that began at this node. */
+    private void inform(VmId keeper, Instant now) {
+        List<StreamOrigin> all = new ArrayList<>();
+        for (RequestId stream : beginnings.keySet()) {
+            origins.find(stream, now).ifPresent(all::add);
+        }
+        for (int from = 0; from < all.size(); from += MAX_ORIGINS) {
+            tell(keeper, List.copyOf(all.subList(from, Math.min(all.size(), from + MAX_ORIGINS))));
+        }
+    }
+
+    private void write(Instant now) {
+        if (now.isBefore(writeDue) || !writes.isEmpty()) {
+            return;
+        }
+        List<StreamOrigin> unsaved = origins.unsaved(MAX_ORIGINS, now);
+        if (unsaved.isEmpty()) {
+            return;
+        }
+        writeDue = now.plus(WRITE_INTERVAL);
+        lastKey = (lastKey + 1) % STORE_KEYS;
+        String key = Integer.toString(lastKey);
+        writes.put(key, streams(unsaved));
+        effects.accept(
+                new ServingEffect.WriteRecord(FeedName.STREAMS, key, Optional.of(StreamOriginRecord.encode(unsaved))));
+    }
+
+    private static List<RequestId> streams(Collection<StreamOrigin> origins) {
+        return origins.stream().map(StreamOrigin::stream).toList();
+    }
+
+    /** Processes the end of a write; origins that were not written are written again. */
+    void onWritten(ServingEvent.RecordWritten written) {
+        List<RequestId> streams = writes.remove(written.key());
+        if (streams != null && written.done()) {
+            origins.setSaved(streams, true);
+        }
+    }
+
+    private void log(Decision.Builder decision) {
+        effects.accept(new ServingEffect.LogDecision(decision.build()));
+    }
+}
--- a/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
@@ -72,7 +72,7 @@
             return;
         }
         Heartbeat heartbeat = new Heartbeat(
-                reply, true, false, false, Map.of(), List.of(), List.of(), List.of(), Paths.ALL_REACHABLE);
+                reply, true, false, false, Map.of(), List.of(), List.of(), List.of(), Paths.ALL_REACHABLE, true);
         nodes.get(receiver).onHeartbeat(new NodeId(sender, 1), heartbeat, now);
         if (!reply && !nodes.get(receiver).watches(sender)) {
             deliver(receiver, sender, true);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -92,6 +92,7 @@
     Duration answerDelay = MESSAGE_DELAY;
     Instant now = START;
     private final Duration grace;
+    private final Map<VmId, Long> incarnations = new HashMap<>();
     private final Map<Long, PoolId> pools = new HashMap<>();
     private final Map<String, Object> decodedRecords = new HashMap<>();
     private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>();
@@ -136,6 +137,7 @@
                 .acceptsTunnels(true)
                 .build();
         nodes.put(vm, new Serving(setup));
+        incarnations.put(vm, incarnation);
         effectsByNode.computeIfAbsent(vm, id -> new ArrayList<>());
     }
 
@@ -364,7 +366,7 @@
                     schedule(
                             MESSAGE_DELAY.plus(delay(send)),
                             send.receiver(),
-                            new ServingEvent.PeerMessageReceived(new NodeId(vm, 1), send.message()));
+                            new ServingEvent.PeerMessageReceived(new NodeId(vm, incarnations.get(vm)), send.message()));
                 }
             }
             case ServingEffect.WriteRecord write -> write(vm, write);
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
@@ -83,7 +83,10 @@
                     PIECES_ANSWERED,
                     PIECES_WITHDRAWN,
                     RESULTS_RELEASED,
-                    ROLLOUT_REPORT -> Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
+                    ROLLOUT_REPORT,
+                    STREAMS_BEGAN,
+                    STREAM_QUERY,
+                    STREAM_REPLY -> Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
             case KIND_NOT_SET -> Either.left("the message of " + sender + " has a kind unknown to this version");
         };
     }
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -12,6 +12,7 @@
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.batch.QueueDelayEstimate;
 import org.wagtaillug.batch.StepResult;
+import org.wagtaillug.directory.VersionKey;
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedRecord;
@@ -37,10 +38,15 @@
 import org.wagtaillug.link.generated.RolloutReportMessage;
 import org.wagtaillug.link.generated.RolloutSampleMessage;
 import org.wagtaillug.link.generated.StepResultMessage;
+import org.wagtaillug.link.generated.StreamOriginMessage;
+import org.wagtaillug.link.generated.StreamQueryMessage;
+import org.wagtaillug.link.generated.StreamReplyMessage;
+import org.wagtaillug.link.generated.StreamsBeganMessage;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.rollout.RolloutSample;
+import org.wagtaillug.stream.StreamOrigin;
 
 /** Converts the messages of nodes that route by host and path to and from protobuf. */
 final class ServingCodec {
@@ -60,6 +66,15 @@
             case ServingMessage.BatchCancellation cancellation ->
                 envelope.setPiecesWithdrawn(PiecesWithdrawnMessage.newBuilder().setNumber(cancellation.number()));
             case ServingMessage.RolloutReport report -> envelope.setRolloutReport(encode(report));
+            case ServingMessage.StreamsBegan began ->
+                envelope.setStreamsBegan(
+                        StreamsBeganMessage.newBuilder().addAllOrigins(encodeOrigins(began.origins())));
+            case ServingMessage.StreamQuery query ->
+                envelope.setStreamQuery(StreamQueryMessage.newBuilder().addAllStreams(encodeIds(query.streams())));
+            case ServingMessage.StreamReply reply ->
+                envelope.setStreamReply(StreamReplyMessage.newBuilder()
+                        .addAllKnown(encodeOrigins(reply.known()))
+                        .addAllUnknown(encodeIds(reply.unknown())));
             case ServingMessage.ResultsReleased released ->
                 envelope.setResultsReleased(
                         ResultsReleasedMessage.newBuilder().addAllResults(encode(released.results())));
@@ -89,6 +104,16 @@
                 new ServingMessage.ResultsReleased(
                         decode(envelope.getResultsReleased().getResultsList()));
             case ROLLOUT_REPORT -> decode(envelope.getRolloutReport());
+            case STREAMS_BEGAN ->
+                new ServingMessage.StreamsBegan(
+                        decodeOrigins(envelope.getStreamsBegan().getOriginsList()));
+            case STREAM_QUERY ->
+                new ServingMessage.StreamQuery(
+                        decodeIds(envelope.getStreamQuery().getStreamsList()));
+            case STREAM_REPLY ->
+                new ServingMessage.StreamReply(
+                        decodeOrigins(envelope.getStreamReply().getKnownList()),
+                        decodeIds(envelope.getStreamReply().getUnknownList()));
             default -> throw new IllegalArgumentException("not a serving message: " + envelope.getKindCase());
         };
     }
@@ -117,7 +142,42 @@
                         .setLatestStartMillis(report.latestStart())
                         .setAgeMillis(report.age().toMillis())));
         heartbeat.paths().unreachable().forEach(pool -> message.addUnreachablePools(pool.value()));
-        return message.setAcceptsTunnels(heartbeat.paths().acceptsTunnels()).build();
+        return message.setAcceptsTunnels(heartbeat.paths().acceptsTunnels())
+                .setKeepsStreamOrigins(heartbeat.keepsStreamOrigins())
+                .build();
+    }
+
+    private static List<StreamOriginMessage> encodeOrigins(List<StreamOrigin> origins) {
+        List<StreamOriginMessage> messages = new ArrayList<>();
+        for (StreamOrigin origin : origins) {
+            StreamOriginMessage.Builder message = StreamOriginMessage.newBuilder()
+                    .setStream(origin.stream().value())
+                    .setPool(origin.pool().value())
+                    .setLifetimeMillis(origin.lifetime().toMillis());
+            origin.version().ifPresent(version -> message.setVersion(version.value()));
+            messages.add(message.build());
+        }
+        return messages;
+    }
+
+    private static List<StreamOrigin> decodeOrigins(List<StreamOriginMessage> messages) {
+        List<StreamOrigin> origins = new ArrayList<>();
+        for (StreamOriginMessage message : messages) {
+            origins.add(new StreamOrigin(
+                    new RequestId(message.getStream()),
+                    new PoolId(message.getPool()),
+                    message.hasVersion() ? Optional.of(new VersionKey(message.getVersion())) : Optional.empty(),
+                    Duration.ofMillis(message.getLifetimeMillis())));
+        }
+        return origins;
+    }
+
+    private static List<String> encodeIds(List<RequestId> ids) {
+        return ids.stream().map(RequestId::value).toList();
+    }
+
+    private static List<RequestId> decodeIds(List<String> ids) {
+        return ids.stream().map(RequestId::new).toList();
     }
 
     private static RateLimitMessage encode(RateLimitReport report) {
@@ -164,7 +224,8 @@
                 waits,
                 rateLimits,
                 departures,
-                decodePaths(message));
+                decodePaths(message),
+                message.getKeepsStreamOrigins());
     }
 
     private static ServingMessage.Paths decodePaths(HeartbeatMessage message) {
@@ -203,6 +264,7 @@
             case DIRECTORY -> FeedNameMessage.FEED_NAME_DIRECTORY;
             case MEMBERSHIP -> FeedNameMessage.FEED_NAME_MEMBERSHIP;
             case ROLLOUTS -> FeedNameMessage.FEED_NAME_ROLLOUTS;
+            case STREAMS -> FeedNameMessage.FEED_NAME_STREAMS;
         };
     }
 
@@ -212,9 +274,10 @@
             case FEED_NAME_DIRECTORY -> FeedName.DIRECTORY;
             case FEED_NAME_MEMBERSHIP -> FeedName.MEMBERSHIP;
             case FEED_NAME_ROLLOUTS -> FeedName.ROLLOUTS;
+            case FEED_NAME_STREAMS -> FeedName.STREAMS;
             case FEED_NAME_UNSPECIFIED, UNRECOGNIZED ->
-                throw new IllegalArgumentException(
-                        "invalid feed " + name + "; expected CONFIGURATION, DIRECTORY, MEMBERSHIP or ROLLOUTS");
+                throw new IllegalArgumentException("invalid feed " + name
+                        + "; expected CONFIGURATION, DIRECTORY, MEMBERSHIP, ROLLOUTS or STREAMS");
         };
     }
 
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -13,6 +13,7 @@
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.batch.QueueDelayEstimate;
 import org.wagtaillug.batch.StepResult;
+import org.wagtaillug.directory.VersionKey;
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedRecord;
@@ -24,8 +25,13 @@
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
+import org.wagtaillug.stream.StreamOrigin;
 
 class ServingCodecTest {
+    private static final StreamOrigin ORIGIN = new StreamOrigin(
+            new RequestId("r-1"), new PoolId("model"), Optional.of(VersionKey.of("v1")), Duration.ofSeconds(9));
+    private static final StreamOrigin UNCERTAIN =
+            new StreamOrigin(new RequestId("r-3"), new PoolId("model"), Optional.empty(), Duration.ofSeconds(2));
     private static final StepResult RESULT = new StepResult("10.1.64.7:8080/91bd", new VmId("i-1"));
 
     static List<ServingMessage> messages() {
@@ -49,7 +55,11 @@
                                 new RateLimitReport(new VmId("i-1"), OptionalDouble.of(0), Duration.ofMillis(40)),
                                 new RateLimitReport(new VmId("i-2"), OptionalDouble.empty(), Duration.ZERO)),
                         List.of(new DepartureReport(new VmId("i-3"), 1_790_000_000_000L, Duration.ofSeconds(2))),
-                        new ServingMessage.Paths(Set.of(new PoolId("encode"), new PoolId("model")), true)),
+                        new ServingMessage.Paths(Set.of(new PoolId("encode"), new PoolId("model")), true),
+                        true),
+                new ServingMessage.StreamsBegan(List.of(ORIGIN, UNCERTAIN)),
+                new ServingMessage.StreamQuery(List.of(new RequestId("r-1"), new RequestId("r-2"))),
+                new ServingMessage.StreamReply(List.of(ORIGIN), List.of(new RequestId("r-2"))),
                 new ServingMessage.FeedUpdate(
                         FeedName.MEMBERSHIP,
                         4,
