Streams do not follow an outdated directory entry to another version

An upstream that starts again under its id at another version is still listed at the earlier one until its new entry has been read, up to 0.7 s later. A stream that went on there in that time held events of two versions; so did one that began there and was continued where its recorded version is.

A node reads the directory before it continues a stream, on demand, also if others relay the directory to it; only a store that does not answer is not waited for. The origin of a stream names the upstream and the incarnation that was listed, so that any node sees at that point that an earlier incarnation was recorded than the one that may have answered. Such a stream is refused: which of the two sent its first event is not known.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedReader.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedReader.java
@@ -29,6 +29,9 @@
     private boolean follower;
     private boolean failing;
     private Instant due = Instant.EPOCH;
+    private boolean requested;
+    private Instant startedAt = Instant.EPOCH;
+    private Instant confirmedAt = Instant.EPOCH;
     private Optional<Instant> lastAnswer = Optional.empty();
     private Optional<Instant> lastFailure = Optional.empty();
 
@@ -64,16 +67,32 @@
      */
     public Optional<Read> next(boolean follower, Instant now) {
         this.follower = follower;
-        if (inFlight || now.isBefore(due) || (follower && !listing && !cutOff(now, name.relayTimeout()))) {
+        boolean relayed = follower && !listing && !cutOff(now, name.relayTimeout());
+        if (inFlight || now.isBefore(due) || (relayed && !requested)) {
             return Optional.empty();
         }
         inFlight = true;
+        requested = false;
+        startedAt = now;
         if (listing) {
             return Optional.of(new Read.Newest(lastListedKey));
         }
         return Optional.of(new Read.From(feed.next(), name.longestWait()));
     }
 
+    /** Requests a read that does not wait for the pause between two reads, nor for another node to relay one. */
+    public void request(Instant now) {
+        if (!requested && !failing) {
+            requested = true;
+            due = inFlight ? due : now;
+        }
+    }
+
+    /** Whether all records that were written before a time are known. */
+    public boolean confirmedSince(Instant time) {
+        return !listing && !confirmedAt.isBefore(time);
+    }
+
     /** A page of the listing was received; returns the records that were applied. */
     public List<FeedRecord> onListed(List<FeedRecord> records, boolean more, long end, Instant now) {
         answered(now);
@@ -101,7 +120,7 @@
     /** Records were received; returns those that were applied. */
     public List<FeedRecord> onRecords(FeedBatch batch, Instant now) {
         answered(now);
-        due = now.plus(name.pause());
+        due = requested ? now : now.plus(name.pause());
         return feed.apply(batch);
     }
 
@@ -130,6 +149,7 @@
     }
 
     private void answered(Instant now) {
+        confirmedAt = startedAt;
         inFlight = false;
         failing = false;
         lastAnswer = Optional.of(now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
@@ -1,10 +1,12 @@
 package org.wagtaillug.serving;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.directory.VersionKey;
@@ -16,17 +18,22 @@
 import org.wagtaillug.route.PoolProfile;
 import org.wagtaillug.route.ServingConfiguration;
 import org.wagtaillug.routing.UpstreamChooser;
+import org.wagtaillug.stream.StreamOrigin;
 
 /**
  * Selects the upstream and the path of the next attempt of a request. A stream that has begun goes on only at upstreams
  * of the pool and version that began it.
  */
 final class AttemptSelection {
+    /** Allowance for the difference between the clocks of nodes and of upstreams. */
+    private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(500);
+
     private final UpstreamDirectory directory;
     private final UpstreamChooser chooser;
     private final UpstreamPaths paths;
     private final RolloutExchange rollouts;
     private final StreamExchange streams;
+    private final Predicate<Instant> directoryConfirmed;
     private final FlowLog log;
 
     /** The next attempt, or why there is none. */
@@ -47,6 +54,9 @@
          */
         record Unavailable(boolean reachable) implements Selection {}
 
+        /** The directory must be read first, as an upstream may have restarted at another version. */
+        record Unconfirmed() implements Selection {}
+
         /**
          * No attempt is possible.
          *
@@ -67,6 +77,7 @@
         this.chooser = chooser;
         this.rollouts = rollouts;
         this.streams = streams;
+        this.directoryConfirmed = upstreams.directoryConfirmed();
         this.log = log;
     }
 
@@ -81,6 +92,10 @@
             return new Selection.Impossible(
                     ResultCode.NO_UPSTREAM, "pool \"" + flow.pool() + "\" has no available upstream");
         }
+        boolean continues = flow.stream().isPresent();
+        if (continues && !directoryConfirmed.test(flow.untargetedSince())) {
+            return new Selection.Unconfirmed();
+        }
         Optional<Selection.Impossible> obstacle = obstacleToContinue(flow, now);
         if (obstacle.isPresent()) {
             return obstacle.get();
@@ -135,16 +150,34 @@
     /** Which versions may continue the stream of a request; empty if none may. */
     private Optional<VersionRule> continuation(Flow flow, Instant now) {
         if (!(streams.find(flow.stream().get(), now) instanceof StreamExchange.Finding.Found found)
-                || !found.origin().pool().equals(flow.pool())) {
+                || !found.origin().pool().equals(flow.pool())
+                || mayHaveBegunElsewhere(found.origin(), now)) {
             return Optional.empty();
         }
-        VersionKey version = found.origin().version().get();
+        VersionKey version = found.origin().version();
         boolean permitted = directory.usable(flow.pool(), new VersionRule.Exactly(version)).stream()
                 .allMatch(upstream -> rollouts.permitsContinuation(
                         flow.pool(), upstream.listing().version()));
         return permitted ? Optional.of(new VersionRule.Exactly(version)) : Optional.empty();
     }
 
+    /**
+     * Whether another version than the recorded one may have begun a stream: its upstream had restarted under its id before
+     * the first event, and its new entry came later.
+     */
+    private boolean mayHaveBegunElsewhere(StreamOrigin origin, Instant now) {
+        return origin.sender()
+                .flatMap(sender -> directory
+                        .find(sender.upstream())
+                        .filter(upstream -> upstream.listing().incarnation() != sender.incarnation())
+                        .filter(upstream ->
+                                !VersionKey.of(upstream.listing().version()).equals(origin.version()))
+                        .filter(upstream -> Instant.ofEpochMilli(
+                                        upstream.listing().incarnation())
+                                .isBefore(now.minus(sender.age()).plus(CLOCK_TOLERANCE))))
+                .isPresent();
+    }
+
     /**
      * Binds a request to the stream that its caller takes up, once it is known where that began.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -97,6 +97,16 @@
         return feeds.get(name).complete() && !readers.get(name).cutOff(now, name.relayTimeout());
     }
 
+    /** Whether all records of a feed from before a time are known; otherwise starts a read, unless the store does not answer. */
+    boolean confirmed(FeedName name, Instant time, Instant now) {
+        FeedReader feedReader = readers.get(name);
+        if (feedReader.confirmedSince(time) || feedReader.failing()) {
+            return true;
+        }
+        feedReader.request(now);
+        return false;
+    }
+
     /** Returns the position after the last known record. */
     long position(FeedName name) {
         return position(feeds.get(name));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -37,6 +37,7 @@
     private Optional<Upstream> target = Optional.empty();
     private UpstreamPath path = UpstreamPath.DIRECT;
     private Instant sentAt = Instant.EPOCH;
+    private Instant untargetedSince;
     private Optional<Instant> firstEventAt = Optional.empty();
     private Optional<SlowestStep> slowestStep = Optional.empty();
     private Optional<String> lastEvent;
@@ -64,6 +65,7 @@
         this.customer = customer;
         this.rank = rank;
         this.arrivedAt = now;
+        this.untargetedSince = now;
         Duration timeout =
                 request.callerTimeout().compareTo(route.timeout()) < 0 ? request.callerTimeout() : route.timeout();
         this.deadline = now.plus(timeout);
@@ -398,8 +400,14 @@
         return wasReading;
     }
 
-    void clearTarget() {
+    void clearTarget(Instant now) {
         target = Optional.empty();
+        untargetedSince = now;
+    }
+
+    /** Since when the request is at no upstream; meaningful only while it is at none. */
+    Instant untargetedSince() {
+        return untargetedSince;
     }
 
     Instant sentAt() {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -117,7 +117,7 @@
         write(line("stream_continues", flow)
                 .field("stream", origin.stream())
                 .field("pool", origin.pool())
-                .field("version", origin.version().map(Object::toString).orElse("-"))
+                .field("version", origin.version())
                 .field("since_arrival_ms", millis(flow.arrivedAt(), now)));
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.wagtaillug.batch.BatchOrder;
 import org.wagtaillug.batch.BatchOutcome;
@@ -82,6 +85,7 @@
     private final Map<RequestId, Flow> flows = new LinkedHashMap<>();
     private final Map<PoolId, RetryBudget> budgets = new HashMap<>();
     private final Map<RequestId, Instant> admissionDeadlines = new LinkedHashMap<>();
+    private final Set<RequestId> unconfirmed = new LinkedHashSet<>();
     private ServingConfiguration configuration;
     private int lastAttempt;
 
@@ -329,6 +333,8 @@
             }
             case AttemptSelection.Selection.Unavailable unavailable ->
                 waitForUpstream(flow, unavailable.reachable(), now);
+            case AttemptSelection.Selection.Unconfirmed ignored ->
+                unconfirmed.add(flow.request().id());
             case AttemptSelection.Selection.Impossible impossible ->
                 fail(flow, impossible.code(), impossible.message(), now);
         }
@@ -436,7 +442,7 @@
         if (end instanceof SendEnd.Failed || end instanceof SendEnd.Broken) {
             addSample(flow, true, now);
         }
-        flow.clearTarget();
+        flow.clearTarget(now);
         outcomes.record(flow, upstream, ended, now);
         log.end(flow, upstream, ended, Duration.between(flow.sentAt(), now));
         boolean successful = end instanceof SendEnd.Passed;
@@ -598,7 +604,7 @@
                 addSample(flow, true, now);
             }
             health.onCancelled(flow.target().get().id());
-            flow.clearTarget();
+            flow.clearTarget(now);
         }
     }
 
@@ -637,7 +643,19 @@
             }
             inputs.onTick(flow, now);
         }
-        for (RequestId id : List.copyOf(admissionDeadlines.keySet())) {
+        sendWaiting(admissionDeadlines.keySet(), now);
+        onDirectoryRead(now);
+    }
+
+    /** Sends requests that were waiting for a read of the directory. */
+    void onDirectoryRead(Instant now) {
+        List<RequestId> waiting = List.copyOf(unconfirmed);
+        unconfirmed.clear();
+        sendWaiting(waiting, now);
+    }
+
+    private void sendWaiting(Collection<RequestId> waiting, Instant now) {
+        for (RequestId id : List.copyOf(waiting)) {
             Flow flow = flows.get(id);
             if (flow != null && flow.target().isEmpty()) {
                 send(flow, now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -88,7 +88,8 @@
         streams = new StreamExchange(setup, peers, () -> !shutdown.started(), effects::add);
         flows = new RequestFlows(
                 setup,
-                new UpstreamState(directory, health, paths),
+                new UpstreamState(
+                        directory, health, paths, time -> feeds.confirmed(FeedName.DIRECTORY, time, currentTime)),
                 roster,
                 orders,
                 rollouts,
@@ -126,8 +127,14 @@
                 effects.add(new ServingEffect.SendToPeer(connected.peer(), heartbeat(false, now)));
             }
             case ServingEvent.PeerDisconnected disconnected -> peers.onDisconnected(disconnected.peer(), now);
-            case ServingEvent.FeedListed listed -> feeds.onListed(listed, now);
-            case ServingEvent.FeedRead read -> feeds.onRead(read, now);
+            case ServingEvent.FeedListed listed -> {
+                feeds.onListed(listed, now);
+                flows.onDirectoryRead(now);
+            }
+            case ServingEvent.FeedRead read -> {
+                feeds.onRead(read, now);
+                flows.onDirectoryRead(now);
+            }
             case ServingEvent.FeedTruncated truncated -> feeds.onTruncated(truncated.feed(), now);
             case ServingEvent.FeedFailed failed -> {
                 if (feeds.onFailed(failed, now)) {
@@ -381,7 +388,6 @@
                     health.onRestarted(listing.id());
                     flows.onRestarted(listing.id());
                     notices.onRestarted(listing, now);
-                    streams.onUpstreamRestarted(listing, now);
                 }
                 logUpstream(listing.id(), change, record);
                 return !known || !listing.remainingColdTime().isZero();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
@@ -43,9 +43,6 @@
     /** How long after its caller's deadline a stream may still be taken up. */
     private static final Duration TAKE_UP_MARGIN = Duration.ofSeconds(5);
 
-    /** Allowance for the difference between the clocks of nodes and of upstreams. */
-    private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(500);
-
     private static final Duration WRITE_INTERVAL = Duration.ofMillis(500);
 
     /** Maximum number of origins in one message or record. */
@@ -60,7 +57,7 @@
     private final Consumer<ServingEffect> effects;
     private final StreamOrigins origins = new StreamOrigins();
     private final StreamLookups lookups = new StreamLookups();
-    private final Map<RequestId, Beginning> beginnings = new HashMap<>();
+    private final Set<RequestId> begun = new HashSet<>();
     private final Map<String, List<RequestId>> writes = new HashMap<>();
     private List<VmId> keepers = List.of();
     private Set<VmId> informed = Set.of();
@@ -69,9 +66,6 @@
     private int lastKey = -1;
     private Instant writeDue = Instant.EPOCH;
 
-    /** How the first event of a stream came to a caller of this node. */
-    private record Beginning(Listing upstream, Instant sentAt, Instant at) {}
-
     /** What this node knows of a stream. */
     sealed interface Finding {
         /**
@@ -106,9 +100,14 @@
         }
         RequestId stream = flow.request().id();
         Duration lifetime = Duration.between(now, flow.deadline()).plus(TAKE_UP_MARGIN);
-        VersionKey version = VersionKey.of(upstream.listing().version());
-        StreamOrigin origin = new StreamOrigin(stream, upstream.pool(), Optional.of(version), lifetime);
-        beginnings.put(stream, new Beginning(upstream.listing(), flow.sentAt(), now));
+        Listing listing = upstream.listing();
+        StreamOrigin origin = new StreamOrigin(
+                stream,
+                listing.pool(),
+                VersionKey.of(listing.version()),
+                Optional.of(new StreamOrigin.Sender(listing.id(), listing.incarnation(), Duration.ZERO)),
+                lifetime);
+        begun.add(stream);
         origins.put(origin, now);
         tell(List.of(origin));
     }
@@ -134,9 +133,7 @@
         Optional<StreamOrigin> known = origins.find(stream, now);
         if (known.isPresent()) {
             lookups.remove(stream);
-            return known.get().version().isPresent()
-                    ? new Finding.Found(known.get())
-                    : new Finding.Unknown("its first upstream restarted at another version at that time");
+            return new Finding.Found(known.get());
         }
         if (storeRead && keepers.contains(self)) {
             lookups.onUnknown(self, List.of(stream));
@@ -164,7 +161,7 @@
         RequestId stream = flow.request().id();
         Duration lifetime = Duration.between(now, flow.deadline()).plus(TAKE_UP_MARGIN);
         StreamOrigin origin =
-                new StreamOrigin(stream, flow.pool(), versions.stream().findFirst(), lifetime);
+                new StreamOrigin(stream, flow.pool(), versions.iterator().next(), Optional.empty(), lifetime);
         origins.put(origin, now);
         return new Finding.Found(origin);
     }
@@ -247,36 +244,6 @@
         informed = others;
     }
 
-    /**
-     * Corrects the origins of streams that began at an upstream which was listed late: it had restarted under its id, so
-     * that another version may have sent the first events.
-     */
-    void onUpstreamRestarted(Listing restarted, Instant now) {
-        Instant start = Instant.ofEpochMilli(restarted.incarnation());
-        List<StreamOrigin> corrected = new ArrayList<>();
-        beginnings.forEach((stream, beginning) -> {
-            boolean concerned = beginning.upstream().id().equals(restarted.id())
-                    && !beginning.upstream().version().equals(restarted.version())
-                    && beginning.at().isAfter(start.minus(CLOCK_TOLERANCE));
-            if (concerned) {
-                boolean later = beginning.sentAt().isAfter(start.plus(CLOCK_TOLERANCE));
-                Optional<VersionKey> version =
-                        later ? Optional.of(VersionKey.of(restarted.version())) : Optional.empty();
-                origins.find(stream, now)
-                        .ifPresent(origin ->
-                                corrected.add(new StreamOrigin(stream, origin.pool(), version, origin.lifetime())));
-            }
-        });
-        corrected.forEach(origin -> origins.put(origin, now));
-        if (!corrected.isEmpty()) {
-            tell(corrected);
-            log(Decision.builder("stream_origins_corrected")
-                    .field("upstream", restarted.id())
-                    .field("version", restarted.version())
-                    .field("streams", corrected.size()));
-        }
-    }
-
     /** Whether this node keeps the origins of streams. */
     boolean keeps() {
         return keepers.contains(self);
@@ -290,7 +257,7 @@
     void onTick(boolean feedRead, Instant now) {
         storeRead = feedRead;
         origins.expire(now);
-        beginnings.keySet().removeIf(stream -> origins.find(stream, now).isEmpty());
+        begun.removeIf(stream -> origins.find(stream, now).isEmpty());
         updateKeepers(now);
         query(now);
         VmId writer = peers.dutyHolder(PeerMembership.STREAM_WRITER_DUTY, acceptsWork.getAsBoolean(), now);
@@ -316,7 +283,7 @@
     /** Tells a new keeper of the streams that began at this node. */
     private void inform(VmId keeper, Instant now) {
         List<StreamOrigin> all = new ArrayList<>();
-        for (RequestId stream : beginnings.keySet()) {
+        for (RequestId stream : begun) {
             origins.find(stream, now).ifPresent(all::add);
         }
         for (int from = 0; from < all.size(); from += MAX_ORIGINS) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/stream/StreamOriginRecord.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/stream/StreamOriginRecord.java
@@ -11,17 +11,18 @@
 import org.wagtaillug.directory.VersionKey;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
 
 /**
  * Encodes and decodes records of the streams feed: a line with the format version, then a line for each origin with the
- * stream, the pool, the milliseconds of its lifetime and, unless it is uncertain, the version, all percent-encoded and
- * separated by tabs.
+ * stream, the pool, the version, the milliseconds of its lifetime and, if the sender is known, its id, its incarnation
+ * and the milliseconds of its age. Texts are percent-encoded, fields separated by tabs.
  */
 public final class StreamOriginRecord {
     private static final String FORMAT = "1";
     private static final String SEPARATOR = "\t";
-    private static final int MIN_FIELDS = 3;
-    private static final int VERSION_FIELD = 3;
+    private static final int MIN_FIELDS = 4;
+    private static final int FIELDS_WITH_SENDER = 7;
 
     private StreamOriginRecord() {}
 
@@ -34,8 +35,15 @@
                     .append(SEPARATOR)
                     .append(escape(origin.pool().value()))
                     .append(SEPARATOR)
+                    .append(escape(origin.version().value()))
+                    .append(SEPARATOR)
                     .append(origin.lifetime().toMillis());
-            origin.version().ifPresent(version -> text.append(SEPARATOR).append(escape(version.value())));
+            origin.sender().ifPresent(sender -> text.append(SEPARATOR)
+                    .append(escape(sender.upstream().value()))
+                    .append(SEPARATOR)
+                    .append(sender.incarnation())
+                    .append(SEPARATOR)
+                    .append(sender.age().toMillis()));
         }
         return text.toString().getBytes(StandardCharsets.UTF_8);
     }
@@ -63,14 +71,18 @@
             throw new IllegalArgumentException(
                     "found " + fields.length + " fields of a stream; expected " + MIN_FIELDS + " or more");
         }
-        Optional<VersionKey> version = fields.length > VERSION_FIELD
-                ? Optional.of(new VersionKey(unescape(fields[VERSION_FIELD])))
+        Optional<StreamOrigin.Sender> sender = fields.length >= FIELDS_WITH_SENDER
+                ? Optional.of(new StreamOrigin.Sender(
+                        new VmId(unescape(fields[4])),
+                        Long.parseLong(fields[5]),
+                        Duration.ofMillis(Long.parseLong(fields[6]))))
                 : Optional.empty();
         return new StreamOrigin(
                 new RequestId(unescape(fields[0])),
                 new PoolId(unescape(fields[1])),
-                version,
-                Duration.ofMillis(Long.parseLong(fields[2])));
+                new VersionKey(unescape(fields[2])),
+                sender,
+                Duration.ofMillis(Long.parseLong(fields[3])));
     }
 
     private static String escape(String text) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/stream/StreamOrigins.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/stream/StreamOrigins.java
@@ -8,8 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.wagtaillug.directory.VersionKey;
-import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 
 /**
@@ -30,16 +28,30 @@
     private final Map<RequestId, Entry> entries = new LinkedHashMap<>();
 
     private static final class Entry {
-        private final PoolId pool;
-        private final Optional<VersionKey> version;
+        private final StreamOrigin origin;
+        private final Instant addedAt;
         private final Instant expiresAt;
         private boolean saved;
 
-        private Entry(PoolId pool, Optional<VersionKey> version, Instant expiresAt) {
-            this.pool = pool;
-            this.version = version;
+        private Entry(StreamOrigin origin, Instant addedAt, Instant expiresAt) {
+            this.origin = origin;
+            this.addedAt = addedAt;
             this.expiresAt = expiresAt;
         }
+
+        private StreamOrigin at(Instant now) {
+            Duration since = Duration.between(addedAt, now);
+            return new StreamOrigin(
+                    origin.stream(),
+                    origin.pool(),
+                    origin.version(),
+                    origin.sender()
+                            .map(sender -> new StreamOrigin.Sender(
+                                    sender.upstream(),
+                                    sender.incarnation(),
+                                    sender.age().plus(since))),
+                    Duration.between(now, expiresAt));
+        }
     }
 
     /** Creates an empty table. */
@@ -55,7 +67,7 @@
     public void put(StreamOrigin origin, Instant now) {
         Duration lifetime = origin.lifetime().compareTo(MAX_LIFETIME) < 0 ? origin.lifetime() : MAX_LIFETIME;
         entries.remove(origin.stream());
-        entries.put(origin.stream(), new Entry(origin.pool(), origin.version(), now.plus(lifetime)));
+        entries.put(origin.stream(), new Entry(origin, now, now.plus(lifetime)));
         while (entries.size() > capacity) {
             entries.remove(entries.keySet().iterator().next());
         }
@@ -75,22 +87,18 @@
     public Optional<StreamOrigin> find(RequestId stream, Instant now) {
         return Optional.ofNullable(entries.get(stream))
                 .filter(entry -> now.isBefore(entry.expiresAt))
-                .map(entry -> origin(stream, entry, now));
-    }
-
-    private static StreamOrigin origin(RequestId stream, Entry entry, Instant now) {
-        return new StreamOrigin(stream, entry.pool, entry.version, Duration.between(now, entry.expiresAt));
+                .map(entry -> entry.at(now));
     }
 
     /** The oldest origins that are not in the store. */
     public List<StreamOrigin> unsaved(int most, Instant now) {
         List<StreamOrigin> unsaved = new ArrayList<>();
-        for (Map.Entry<RequestId, Entry> known : entries.entrySet()) {
+        for (Entry entry : entries.values()) {
             if (unsaved.size() == most) {
                 break;
             }
-            if (!known.getValue().saved && now.isBefore(known.getValue().expiresAt)) {
-                unsaved.add(origin(known.getKey(), known.getValue(), now));
+            if (!entry.saved && now.isBefore(entry.expiresAt)) {
+                unsaved.add(entry.at(now));
             }
         }
         return unsaved;
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -153,8 +153,12 @@
             StreamOriginMessage.Builder message = StreamOriginMessage.newBuilder()
                     .setStream(origin.stream().value())
                     .setPool(origin.pool().value())
+                    .setVersion(origin.version().value())
                     .setLifetimeMillis(origin.lifetime().toMillis());
-            origin.version().ifPresent(version -> message.setVersion(version.value()));
+            origin.sender()
+                    .ifPresent(sender -> message.setUpstream(sender.upstream().value())
+                            .setIncarnation(sender.incarnation())
+                            .setAgeMillis(sender.age().toMillis()));
             messages.add(message.build());
         }
         return messages;
@@ -166,12 +170,22 @@
             origins.add(new StreamOrigin(
                     new RequestId(message.getStream()),
                     new PoolId(message.getPool()),
-                    message.hasVersion() ? Optional.of(new VersionKey(message.getVersion())) : Optional.empty(),
+                    new VersionKey(message.getVersion()),
+                    decodeSender(message),
                     Duration.ofMillis(message.getLifetimeMillis())));
         }
         return origins;
     }
 
+    private static Optional<StreamOrigin.Sender> decodeSender(StreamOriginMessage message) {
+        return message.hasUpstream()
+                ? Optional.of(new StreamOrigin.Sender(
+                        new VmId(message.getUpstream()),
+                        message.getIncarnation(),
+                        Duration.ofMillis(message.getAgeMillis())))
+                : Optional.empty();
+    }
+
     private static List<String> encodeIds(List<RequestId> ids) {
         return ids.stream().map(RequestId::value).toList();
     }
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -29,9 +29,13 @@
 
 class ServingCodecTest {
     private static final StreamOrigin ORIGIN = new StreamOrigin(
-            new RequestId("r-1"), new PoolId("model"), Optional.of(VersionKey.of("v1")), Duration.ofSeconds(9));
-    private static final StreamOrigin UNCERTAIN =
-            new StreamOrigin(new RequestId("r-3"), new PoolId("model"), Optional.empty(), Duration.ofSeconds(2));
+            new RequestId("r-1"),
+            new PoolId("model"),
+            VersionKey.of("v1"),
+            Optional.of(new StreamOrigin.Sender(new VmId("i-4"), 1_790_000_000_000L, Duration.ofMillis(300))),
+            Duration.ofSeconds(9));
+    private static final StreamOrigin UNSENT = new StreamOrigin(
+            new RequestId("r-3"), new PoolId("model"), VersionKey.of(""), Optional.empty(), Duration.ofSeconds(2));
     private static final StepResult RESULT = new StepResult("10.1.64.7:8080/91bd", new VmId("i-1"));
 
     static List<ServingMessage> messages() {
@@ -57,7 +61,7 @@
                         List.of(new DepartureReport(new VmId("i-3"), 1_790_000_000_000L, Duration.ofSeconds(2))),
                         new ServingMessage.Paths(Set.of(new PoolId("encode"), new PoolId("model")), true),
                         true),
-                new ServingMessage.StreamsBegan(List.of(ORIGIN, UNCERTAIN)),
+                new ServingMessage.StreamsBegan(List.of(ORIGIN, UNSENT)),
                 new ServingMessage.StreamQuery(List.of(new RequestId("r-1"), new RequestId("r-2"))),
                 new ServingMessage.StreamReply(List.of(ORIGIN), List.of(new RequestId("r-2"))),
                 new ServingMessage.FeedUpdate(
