Probes of upstreams ask for an answer

Class: a check that is weaker than what it stands for.

A probe is a request now that any server answers and none executes, as it expects a server of another id (421). A reset before an answer is a failure like a refused connection; silence is not, as a sound server may pause.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
@@ -95,7 +95,7 @@
     record ReleaseResults(long release, Listing server, List<String> handles) implements ServingEffect {}
 
     /**
-     * Open a connection to an upstream and close it again. Answered by {@link ServingEvent.ConnectEnded}.
+     * Send an upstream a request that it does not execute, over a connection of its own. Answered by {@link ServingEvent.ConnectEnded}.
      *
      * @param upstream the upstream
      */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -100,11 +100,11 @@
     }
 
     /**
-     * An attempt to connect to an upstream has ended, for a {@link ServingEffect.ProbeUpstream} or a
+     * An attempt to reach an upstream has ended, for a {@link ServingEffect.ProbeUpstream} or a
      * {@link ServingEffect.OpenTunnel}.
      *
      * @param upstream the upstream
-     * @param failure why the connection could not be opened; empty if it was opened
+     * @param failure why the connection could not be opened, or was reset before an answer; empty if it works
      */
     record ConnectEnded(VmId upstream, Optional<String> failure) implements ServingEvent {}
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -371,8 +371,7 @@
             }
             case ServingEffect.WriteRecord write -> write(vm, write);
             case ServingEffect.CallBatch call -> callBatch(vm, call.call());
-            case ServingEffect.ProbeUpstream probe ->
-                connect(vm, probe.upstream().id());
+            case ServingEffect.ProbeUpstream probe -> probe(vm, probe.upstream().id());
             case ServingEffect.ReleaseResults release
             when withoutUpstreams.containsKey(vm) ->
                 schedule(
@@ -447,6 +446,15 @@
         return new FeedRecord(record.key(), FeedPosition.of(era, record.offset()), record.value());
     }
 
+    /** Lets a node send an upstream a request and wait for its answer. */
+    private void probe(VmId vm, VmId upstream) {
+        Optional<Duration> failure = Optional.ofNullable(withoutUpstreams.get(vm));
+        schedule(
+                failure.orElse(MESSAGE_DELAY),
+                vm,
+                new ServingEvent.ConnectEnded(upstream, failure.map(after -> "reset or connect timeout")));
+    }
+
     /** Lets a node connect to an upstream, which fails without a path. */
     void connect(VmId vm, VmId upstream) {
         Optional<Duration> failure =
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -187,6 +187,7 @@
                         exchanges,
                         control::submit,
                         clock::now),
+                new UpstreamProber(singleUseClient, translation.upstreams(), control::submit),
                 new BatchCaller(pooledClient, translation.stages(), control::submit),
                 translation,
                 link,
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -32,6 +32,7 @@
             RoutedHandler handler,
             Runnable closeIdleConnections,
             UpstreamCaller upstreams,
+            UpstreamProber prober,
             BatchCaller batches,
             Translation translation,
             PeerLink link,
@@ -70,7 +71,7 @@
             case ServingEffect.Finished finished -> finish(finished);
             case ServingEffect.CallBatch call -> parts.batches().call(call.call());
             case ServingEffect.ReleaseResults release -> parts.batches().release(release);
-            case ServingEffect.ProbeUpstream probe -> parts.tunnels().probe(probe.upstream());
+            case ServingEffect.ProbeUpstream probe -> parts.prober().probe(probe.upstream());
             case ServingEffect.OpenTunnel open -> parts.tunnels().open(open.number(), open.upstream());
             case ServingEffect.RefuseTunnel refuse -> parts.tunnels().refuse(refuse.number());
             case ServingEffect.SendToPeer send -> parts.link().send(send.receiver(), send.message());
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/UpstreamTranslation.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/UpstreamTranslation.java
@@ -18,6 +18,9 @@
      */
     void write(HttpFields caller, SendOrder order, Duration left, HttpFields.Mutable out);
 
+    /** Writes the headers of a request that every upstream answers and none executes. */
+    void writeProbe(HttpFields.Mutable out);
+
     /** Whether an answer states that the request was not executed and will not be. */
     boolean notRun(int status, HttpFields head);
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/tunnel/TunnelServer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/tunnel/TunnelServer.java
@@ -151,14 +151,6 @@
         });
     }
 
-    /** Opens a connection to an upstream and closes it again. */
-    public void probe(Listing upstream) {
-        connector.connect(upstream.host(), upstream.port()).addListener((ChannelFuture connected) -> {
-            report(upstream.id(), connected);
-            connected.channel().close();
-        });
-    }
-
     private void report(VmId upstream, ChannelFuture connected) {
         Optional<String> failure = Optional.ofNullable(connected.cause())
                 .map(cause -> cause.getClass().getSimpleName() + ": " + cause.getMessage());
