An event with an empty id does not make a stream start again

Callers would get events twice if an upstream broke after an event with an empty id: the id replaced that of the last event, and the next attempt was sent without one. An empty id says nothing of the position and is ignored.

EventSplitterTest.anEmptyIdDoesNotReplaceTheLastOne failed before and passes.

--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/EventSplitter.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/EventSplitter.java
@@ -41,8 +41,11 @@
 
     private void recordId(byte[] event) {
         for (String line : new String(event, StandardCharsets.UTF_8).split("\r?\n")) {
-            if (line.startsWith(ID_PREFIX)) {
-                lastEventId = Optional.of(line.substring(ID_PREFIX.length()).strip());
+            String id = line.startsWith(ID_PREFIX)
+                    ? line.substring(ID_PREFIX.length()).strip()
+                    : "";
+            if (!id.isEmpty()) {
+                lastEventId = Optional.of(id);
             }
         }
     }
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/EventSplitterTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/EventSplitterTest.java
@@ -24,6 +24,13 @@
         assertThat(splitter.lastEventId()).contains("2");
     }
 
+    /** Guards against an attempt that resumes from the beginning after an event with an empty id. */
+    @Test
+    void anEmptyIdDoesNotReplaceTheLastOne() {
+        append("id: 6\ndata: a\n\nid:\ndata: b\n\n");
+        assertThat(splitter.lastEventId()).contains("6");
+    }
+
     @Test
     void anEventMayBeSplitAtAnyByte() {
         String text = "id: 7\r\ndata: a\r\n\r\n";
