--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -47,7 +47,7 @@
     }
 
     /**
-     * The first complete event of a stream was passed to the caller by an attempt.
+     * The first complete event of a stream is about to be passed to the caller by an attempt.
      *
      * @param request the request
      * @param attempt its attempt
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
@@ -136,7 +136,7 @@
             return new Finding.Found(known.get());
         }
         if (storeRead && keepers.contains(self)) {
-            lookups.onUnknown(self, List.of(stream));
+            lookups.onUnknown(self, List.of(stream), now);
         }
         return switch (lookups.lookUp(stream, keepers, now)) {
             case SEARCHING -> {
@@ -200,7 +200,7 @@
     /** Processes the answer to a query. */
     void onReply(VmId sender, ServingMessage.StreamReply reply, Instant now) {
         reply.known().forEach(origin -> origins.put(origin, now));
-        lookups.onUnknown(sender, reply.unknown());
+        lookups.onUnknown(sender, reply.unknown(), now);
     }
 
     /** Processes a record of the streams feed. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/stream/StreamLookups.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/stream/StreamLookups.java
@@ -17,6 +17,9 @@
     /** A node that has failed is noticed within this time, so that no longer wait brings another answer. */
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
 
+    /** Keepers learn of a stream within this time after its caller has received the first event. */
+    private static final Duration SETTLING_TIME = Duration.ofMillis(100);
+
     private static final Duration REPEAT_INTERVAL = Duration.ofMillis(150);
     private static final int MAX_LOOKUPS = 2000;
 
@@ -63,11 +66,11 @@
         return now.isBefore(lookup.startedAt.plus(TIMEOUT)) ? State.SEARCHING : State.UNANSWERED;
     }
 
-    /** Records that a node does not know some streams. */
-    public void onUnknown(VmId keeper, Collection<RequestId> streams) {
+    /** Records that a node does not know some streams; it may still learn of those that have just begun. */
+    public void onUnknown(VmId keeper, Collection<RequestId> streams, Instant now) {
         for (RequestId stream : streams) {
             Lookup lookup = lookups.get(stream);
-            if (lookup != null) {
+            if (lookup != null && !now.isBefore(lookup.startedAt.plus(SETTLING_TIME))) {
                 lookup.unaware.add(keeper);
             }
         }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/LeavingUpstreamTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/LeavingUpstreamTest.java
@@ -140,6 +140,8 @@
         int attempt = world.sends(stream).getLast().attempt();
         world.handle(node(1), new ServingEvent.AnswerStarted(stream, attempt, LEAVING));
         world.endAttempt(1, stream, new SendEnd.Broken("reset", Optional.of("3")));
+        // The directory is read before a stream goes on.
+        world.run(Duration.ofMillis(20));
         assertThat(world.sends(stream)).hasSize(2);
         assertThat(targetOf(stream)).isNotEqualTo(engine);
         RequestId next = world.request(1, "question", 0, 0);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -47,7 +47,7 @@
         /** A successful stream has started. */
         void onStarted(Optional<UpstreamNotice> notice);
 
-        /** The first complete event was passed to the caller. */
+        /** The first complete event is about to be passed to the caller. */
         void onEventPassed();
 
         /** The attempt has ended. */
@@ -116,8 +116,9 @@
             case STREAM -> {
                 byte[] completeEvents = events.append(content);
                 if (completeEvents.length > 0) {
-                    exchange.write(completeEvents);
+                    // Before the caller has the event, or it might take the stream up before any node knows of it.
                     reportFirstEvent();
+                    exchange.write(completeEvents);
                 }
             }
             case WHOLE, FAILURE -> {
