Tests: candidates under test, two builds, routes that cannot resume

A stream of a route whose streams cannot be resumed is refused at once; before, the node looked for it for 1.5 s where no route is resumable. Tests guard against resumed streams at a candidate under test, and against mixing in a fleet of two builds.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
@@ -210,6 +210,9 @@
     }
 
     private StreamExchange.Finding origin(Flow flow, Instant now) {
+        if (!flow.route().resumable()) {
+            return new StreamExchange.Finding.Unknown("streams of its route cannot be resumed");
+        }
         Optional<RequestId> stream = flow.request().resumption().flatMap(Resumption::stream);
         if (stream.isEmpty()) {
             return streams.onlyOrigin(flow, directory.recentVersions(flow.pool()), now);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ResumedStreamsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ResumedStreamsTest.java
@@ -146,6 +146,61 @@
         verify(fleet, 0.5);
     }
 
+    /** Guards against a candidate version under test that gets more than its share by streams that go on there. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void aCandidateUnderTestGetsNoResumedStreams(long seed) {
+        StreamFleet fleet = new StreamFleet(9, 3, seed, OLD);
+        fleet.world.orderRollout(ServingWorld.MODEL, NEW, Duration.ofSeconds(60));
+        for (int number = 1; number <= 3; number++) {
+            fleet.startServer(StreamFleet.upstream(NEW, number), NEW);
+        }
+        fleet.run(Duration.ofSeconds(6), 40);
+        fleet.crash(StreamFleet.upstream(NEW, 1));
+        fleet.crash(StreamFleet.upstream(OLD, 1));
+        fleet.kill(fleet.node(2));
+        fleet.run(Duration.ofSeconds(3), 40);
+        assertThat(fleet.begunAt(NEW)).isPositive();
+        assertThat(fleet.resumedAttempts(OLD)).isPositive();
+        assertThat(fleet.resumedAttempts(NEW)).isZero();
+        assertThat(fleet.mixedStreams()).isEmpty();
+    }
+
+    /** Guards against a fleet of two builds in which streams are mixed, or do not go on between nodes of the later one. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2})
+    void nodesOfTwoBuildsDoNotMixVersions(long seed) {
+        StreamFleet fleet = new StreamFleet(9, 3, seed, OLD, NEW);
+        for (int number = 1; number <= 4; number++) {
+            fleet.world.earlierBuilds.add(fleet.node(number));
+        }
+        fleet.run(Duration.ofSeconds(4), 20);
+        for (int number = 5; number <= 9; number++) {
+            fleet.kill(fleet.node(number));
+            fleet.run(Duration.ofMillis(700), 20);
+            fleet.restart(fleet.node(number));
+            fleet.run(Duration.ofMillis(800), 20);
+        }
+        fleet.run(LONGEST_STREAM, 0);
+        assertThat(fleet.mixedStreams()).isEmpty();
+        assertThat(fleet.brokenStreams()).isEmpty();
+        assertThat(fleet.takenUp().served()).isPositive();
+    }
+
+    /** Guards against callers that wait for a stream of a route whose streams cannot be resumed. */
+    @Test
+    void aStreamOfARouteThatCannotResumeIsRefusedAtOnce() {
+        StreamFleet fleet = new StreamFleet(3, 2, 1, OLD, NEW);
+        RequestId request = new RequestId("second");
+        fleet.world.stream(
+                fleet.node(2),
+                request,
+                "draft",
+                Duration.ofSeconds(4),
+                Optional.of(new Resumption("2", Optional.of(new RequestId("first")))));
+        assertRefused(fleet, request);
+    }
+
     /** Guards against callers that wait, or are served by another version, when no upstream of theirs is left. */
     @Test
     void aStreamWhoseVersionHasLeftIsRefusedAtOnceAsNotRun() {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -79,6 +79,9 @@
     /** Nodes that receive no messages from other nodes. */
     final Set<VmId> isolatedNodes = new HashSet<>();
 
+    /** Nodes of an earlier build, which neither send nor understand messages about streams. */
+    final Set<VmId> earlierBuilds = new HashSet<>();
+
     /** Nodes that cannot connect to any upstream, with the time until an attempt to connect fails. */
     final Map<VmId, Duration> withoutUpstreams = new HashMap<>();
 
@@ -362,11 +365,15 @@
         switch (effect) {
             case ServingEffect.ReadFeed read -> read(vm, read);
             case ServingEffect.SendToPeer send -> {
-                if (!isolatedNodes.contains(vm) && !isolatedNodes.contains(send.receiver())) {
+                boolean isolated = isolatedNodes.contains(vm) || isolatedNodes.contains(send.receiver());
+                boolean understood = !aboutStreams(send.message())
+                        || !(earlierBuilds.contains(vm) || earlierBuilds.contains(send.receiver()));
+                if (!isolated && understood) {
                     schedule(
                             MESSAGE_DELAY.plus(delay(send)),
                             send.receiver(),
-                            new ServingEvent.PeerMessageReceived(new NodeId(vm, incarnations.get(vm)), send.message()));
+                            new ServingEvent.PeerMessageReceived(
+                                    new NodeId(vm, incarnations.get(vm)), decoded(vm, send.message())));
                 }
             }
             case ServingEffect.WriteRecord write -> write(vm, write);
@@ -392,6 +399,30 @@
         }
     }
 
+    private static boolean aboutStreams(ServingMessage message) {
+        return message instanceof ServingMessage.StreamsBegan
+                || message instanceof ServingMessage.StreamQuery
+                || message instanceof ServingMessage.StreamReply;
+    }
+
+    /** A message as its receiver decodes it. */
+    private ServingMessage decoded(VmId sender, ServingMessage message) {
+        if (!(message instanceof ServingMessage.Heartbeat heartbeat) || !earlierBuilds.contains(sender)) {
+            return message;
+        }
+        return new ServingMessage.Heartbeat(
+                heartbeat.reply(),
+                heartbeat.serving(),
+                heartbeat.follows(),
+                heartbeat.storeLost(),
+                heartbeat.positions(),
+                heartbeat.waits(),
+                heartbeat.rateLimits(),
+                heartbeat.departures(),
+                heartbeat.paths(),
+                false);
+    }
+
     private Duration delay(ServingEffect.SendToPeer send) {
         boolean answer = send.message() instanceof ServingMessage.BatchReply;
         return answer ? answerDelay.minus(MESSAGE_DELAY) : Duration.ZERO;
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/StreamFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/StreamFleet.java
@@ -39,6 +39,7 @@
     private final Map<RequestId, Caller> tries = new HashMap<>();
     private final List<Caller> callers = new ArrayList<>();
     private final List<Attempt> attempts = new ArrayList<>();
+    private final Map<String, Integer> resumedAttempts = new HashMap<>();
     private final Map<VmId, Restart> restarts = new HashMap<>();
     private final Set<VmId> outOfTouch = new HashSet<>();
 
@@ -353,6 +354,9 @@
             end(node, order, new SendEnd.Unsent("connection refused"));
             return;
         }
+        if (order.resumesAfter().isPresent()) {
+            resumedAttempts.merge(server.version, 1, Integer::sum);
+        }
         boolean breaks = order.resumesAfter().isPresent() && random.nextDouble() < brokenResumptions;
         attempts.add(new Attempt(node, order, server, breaks, world.now.plus(FIRST_EVENT)));
     }
@@ -431,6 +435,20 @@
         return mixed;
     }
 
+    /** The number of attempts that upstreams of a version have received of streams that went on. */
+    int resumedAttempts(String version) {
+        return resumedAttempts.getOrDefault(version, 0);
+    }
+
+    /** The number of streams that began at a version. */
+    int begunAt(String version) {
+        int begun = 0;
+        for (Caller caller : callers) {
+            begun += caller.versions.contains(version) ? 1 : 0;
+        }
+        return begun;
+    }
+
     /** The streams in which an event is missing or comes twice, or that were complete before their last event. */
     List<String> brokenStreams() {
         List<String> broken = new ArrayList<>();
