--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -32,7 +32,7 @@
      * @param rateLimits the rate limits of upstreams that the sender knows; the newest ones if there are many
      * @param departures the upstreams that have announced that they leave; the latest ones if there are many
      * @param paths what the sender reaches, and offers to other nodes
-     * @param keepsStreamOrigins whether the sender answers queries for the origins of streams
+     * @param storesStreamOrigins whether the sender answers queries for the origins of streams
      */
     record Heartbeat(
             boolean reply,
@@ -44,7 +44,7 @@
             List<RateLimitReport> rateLimits,
             List<DepartureReport> departures,
             Paths paths,
-            boolean keepsStreamOrigins)
+            boolean storesStreamOrigins)
             implements ServingMessage {
         /** Makes a defensive copy of the lists. */
         public Heartbeat {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Duty.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Duty.java
@@ -52,8 +52,8 @@
         return new Duty(ranking, holders, Optional.of(pool), Set.of(Requirement.TUNNELS));
     }
 
-    /** Creates the duty to keep the origins of streams. */
-    public static Duty ofStreamKeepers(List<VmId> ranking, int holders) {
+    /** Creates the duty to store the origins of streams. */
+    public static Duty ofStreamReplicas(List<VmId> ranking, int holders) {
         return new Duty(ranking, holders, Optional.empty(), Set.of(Requirement.STREAM_ORIGINS));
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -80,7 +80,7 @@
         private long incarnation;
         private boolean serving;
         private boolean storeLost;
-        private boolean keepsStreamOrigins;
+        private boolean storesStreamOrigins;
         private Paths paths = Paths.ALL_REACHABLE;
         private Map<FeedName, Long> positions = Map.of();
         private List<QueueDelayEstimate> waits = List.of();
@@ -125,7 +125,7 @@
         peer.downAt = Instant.EPOCH;
         peer.serving = heartbeat.serving();
         peer.storeLost = heartbeat.storeLost();
-        peer.keepsStreamOrigins = heartbeat.keepsStreamOrigins();
+        peer.storesStreamOrigins = heartbeat.storesStreamOrigins();
         peer.paths = heartbeat.paths();
         peer.positions = heartbeat.positions();
         peer.waits = heartbeat.waits();
@@ -187,7 +187,7 @@
                     switch (requirement) {
                         case STORE -> !peer.storeLost;
                         case TUNNELS -> peer.paths.acceptsTunnels();
-                        case STREAM_ORIGINS -> peer.keepsStreamOrigins;
+                        case STREAM_ORIGINS -> peer.storesStreamOrigins;
                     };
             if (!met) {
                 return false;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -34,8 +34,8 @@
     private static final String ROLLOUT_DUTY = "rollouts";
     private static final String EXCHANGE_DUTY = "exchange";
 
-    /** The duty to keep the origins of streams. */
-    static final String STREAM_KEEPER_DUTY = "streams";
+    /** The duty to store the origins of streams. */
+    static final String STREAM_REPLICA_DUTY = "streams";
 
     /** The duty to write the origins of streams to the store, with the same ranking. */
     static final String STREAM_WRITER_DUTY = "streams/store";
@@ -110,8 +110,8 @@
         }
         duties.put(FEED_DUTY, Duty.ofStoreReaders(roster.ranking(FEED_DUTY, member.domain()), FEED_READERS));
         if (streamsResumable) {
-            List<VmId> ranking = roster.ranking(STREAM_KEEPER_DUTY);
-            duties.put(STREAM_KEEPER_DUTY, Duty.ofStreamKeepers(ranking, StreamExchange.KEEPERS));
+            List<VmId> ranking = roster.ranking(STREAM_REPLICA_DUTY);
+            duties.put(STREAM_REPLICA_DUTY, Duty.ofStreamReplicas(ranking, StreamExchange.REPLICAS));
             duties.put(STREAM_WRITER_DUTY, Duty.ofStreamWriter(ranking));
         }
         if (rolloutInProgress) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -195,7 +195,7 @@
         membership.onTick(feeds.complete(FeedName.MEMBERSHIP), orders.partners(), reply -> heartbeat(reply, now), now);
         feeds.setReader(membership.readsStore(now));
         streams.onTick(feeds.fresh(FeedName.STREAMS, now), now);
-        feeds.setActive(FeedName.STREAMS, streams.keeps());
+        feeds.setActive(FeedName.STREAMS, streams.isReplica());
         onRolloutTick(now);
         feeds.catchUp(now);
     }
@@ -280,7 +280,7 @@
             case ServingMessage.BatchCancellation cancellation ->
                 orders.onBatchCancellation(sender, cancellation.number(), now);
             case ServingMessage.RolloutReport report -> rollouts.onReport(report, now);
-            case ServingMessage.StreamsBegan began -> streams.onTold(began, now);
+            case ServingMessage.StreamsBegan began -> streams.onStreamsBegan(began, now);
             case ServingMessage.StreamQuery query -> streams.onQuery(sender.vm(), query, now);
             case ServingMessage.StreamReply reply -> {
                 streams.onReply(sender.vm(), reply, now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
@@ -32,13 +32,13 @@
 /**
  * Makes the origins of streams known to all nodes.
  *
- * <p>A few nodes, the keepers, are told of each stream when it begins and answer the queries of the others, so that the
- * messages for a stream do not grow with the fleet. One of them writes the origins to the store, from which they are
+ * <p>A few nodes, the replicas, store the origin of each stream from its beginning and answer the queries of the others, so
+ * that the messages for a stream do not grow with the fleet. One of them writes the origins to the store, from which they are
  * read after many nodes have failed together.
  */
 final class StreamExchange {
-    /** The number of keepers. */
-    static final int KEEPERS = 3;
+    /** The number of replicas. */
+    static final int REPLICAS = 3;
 
     /** How long after its caller's deadline a stream may still be taken up. */
     private static final Duration TAKE_UP_MARGIN = Duration.ofSeconds(5);
@@ -59,8 +59,8 @@
     private final StreamLookups lookups = new StreamLookups();
     private final Set<RequestId> begun = new HashSet<>();
     private final Map<String, List<RequestId>> writes = new HashMap<>();
-    private List<VmId> keepers = List.of();
-    private Set<VmId> informed = Set.of();
+    private List<VmId> replicas = List.of();
+    private Set<VmId> synchronizedReplicas = Set.of();
     private boolean storeRead;
     private long lastOffset = -1;
     private int lastKey = -1;
@@ -109,18 +109,18 @@
                 lifetime);
         begun.add(stream);
         origins.put(origin, now);
-        tell(List.of(origin));
+        announce(List.of(origin));
     }
 
-    private void tell(List<StreamOrigin> told) {
-        for (VmId keeper : keepers) {
-            tell(keeper, told);
+    private void announce(List<StreamOrigin> announced) {
+        for (VmId replica : replicas) {
+            announce(replica, announced);
         }
     }
 
-    private void tell(VmId keeper, List<StreamOrigin> told) {
-        if (!keeper.equals(self)) {
-            send(keeper, new ServingMessage.StreamsBegan(told));
+    private void announce(VmId replica, List<StreamOrigin> announced) {
+        if (!replica.equals(self)) {
+            send(replica, new ServingMessage.StreamsBegan(announced));
         }
     }
 
@@ -135,10 +135,10 @@
             lookups.remove(stream);
             return new Finding.Found(known.get());
         }
-        if (storeRead && keepers.contains(self)) {
+        if (storeRead && replicas.contains(self)) {
             lookups.onUnknown(self, List.of(stream), now);
         }
-        return switch (lookups.lookUp(stream, keepers, now)) {
+        return switch (lookups.lookUp(stream, replicas, now)) {
             case SEARCHING -> {
                 query(now);
                 yield new Finding.Searching();
@@ -167,17 +167,17 @@
     }
 
     private void query(Instant now) {
-        for (VmId keeper : keepers) {
-            List<RequestId> queries = lookups.queries(keeper, now);
-            if (!queries.isEmpty() && !keeper.equals(self)) {
-                send(keeper, new ServingMessage.StreamQuery(queries));
+        for (VmId replica : replicas) {
+            List<RequestId> queries = lookups.queries(replica, now);
+            if (!queries.isEmpty() && !replica.equals(self)) {
+                send(replica, new ServingMessage.StreamQuery(queries));
             }
         }
         lookups.onQueriesSent(now);
     }
 
     /** Processes the origins of streams that began at another node. */
-    void onTold(ServingMessage.StreamsBegan began, Instant now) {
+    void onStreamsBegan(ServingMessage.StreamsBegan began, Instant now) {
         began.origins().forEach(origin -> origins.put(origin, now));
     }
 
@@ -237,28 +237,28 @@
         origins.setAllUnsaved();
     }
 
-    /** Processes the restart of a peer, which has forgotten what it was told. */
+    /** Processes the restart of a peer, which has lost the origins that it stored. */
     void onPeerRestarted(VmId peer) {
-        Set<VmId> others = new HashSet<>(informed);
+        Set<VmId> others = new HashSet<>(synchronizedReplicas);
         others.remove(peer);
-        informed = others;
+        synchronizedReplicas = others;
     }
 
-    /** Whether this node keeps the origins of streams. */
-    boolean keeps() {
-        return keepers.contains(self);
+    /** Whether this node stores the origins of the streams of all nodes. */
+    boolean isReplica() {
+        return replicas.contains(self);
     }
 
     /**
-     * Updates the keepers and sends what is due.
+     * Updates the replicas and sends what is due.
      *
-     * @param feedRead whether this node has read the streams feed since it keeps the origins
+     * @param feedRead whether this node has read the streams feed since it became a replica
      */
     void onTick(boolean feedRead, Instant now) {
         storeRead = feedRead;
         origins.expire(now);
         begun.removeIf(stream -> origins.find(stream, now).isEmpty());
-        updateKeepers(now);
+        updateReplicas(now);
         query(now);
         VmId writer = peers.dutyHolder(PeerMembership.STREAM_WRITER_DUTY, acceptsWork.getAsBoolean(), now);
         if (feedRead && writer.equals(self)) {
@@ -266,28 +266,29 @@
         }
     }
 
-    private void updateKeepers(Instant now) {
-        List<VmId> current = peers.holders(PeerMembership.STREAM_KEEPER_DUTY, KEEPERS, acceptsWork.getAsBoolean(), now);
-        if (!current.equals(keepers)) {
-            log(Decision.builder("stream_keepers").field("keepers", current).field("streams", origins.size()));
-            keepers = current;
+    private void updateReplicas(Instant now) {
+        List<VmId> current =
+                peers.holders(PeerMembership.STREAM_REPLICA_DUTY, REPLICAS, acceptsWork.getAsBoolean(), now);
+        if (!current.equals(replicas)) {
+            log(Decision.builder("stream_replicas").field("replicas", current).field("streams", origins.size()));
+            replicas = current;
         }
-        for (VmId keeper : current) {
-            if (!informed.contains(keeper)) {
-                inform(keeper, now);
+        for (VmId replica : current) {
+            if (!synchronizedReplicas.contains(replica)) {
+                synchronize(replica, now);
             }
         }
-        informed = Set.copyOf(current);
+        synchronizedReplicas = Set.copyOf(current);
     }
 
-    /** Tells a new keeper of the streams that began at this node. */
-    private void inform(VmId keeper, Instant now) {
+    /** Sends a new replica the origins of the streams that began at this node. */
+    private void synchronize(VmId replica, Instant now) {
         List<StreamOrigin> all = new ArrayList<>();
         for (RequestId stream : begun) {
             origins.find(stream, now).ifPresent(all::add);
         }
         for (int from = 0; from < all.size(); from += MAX_ORIGINS) {
-            tell(keeper, List.copyOf(all.subList(from, Math.min(all.size(), from + MAX_ORIGINS))));
+            announce(replica, List.copyOf(all.subList(from, Math.min(all.size(), from + MAX_ORIGINS))));
         }
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/stream/StreamLookups.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/stream/StreamLookups.java
@@ -17,7 +17,7 @@
     /** A node that has failed is noticed within this time, so that no longer wait brings another answer. */
     private static final Duration TIMEOUT = Duration.ofMillis(1500);
 
-    /** Keepers learn of a stream within this time after its caller has received the first event. */
+    /** Replicas learn of a stream within this time after its caller has received the first event. */
     private static final Duration SETTLING_TIME = Duration.ofMillis(100);
 
     private static final Duration REPEAT_INTERVAL = Duration.ofMillis(150);
@@ -27,7 +27,7 @@
 
     private static final class Lookup {
         private final Instant startedAt;
-        private final Set<VmId> unaware = new HashSet<>();
+        private final Set<VmId> negativeReplies = new HashSet<>();
         private Instant askDue;
 
         private Lookup(Instant now) {
@@ -49,9 +49,9 @@
     /**
      * Starts a lookup or continues it.
      *
-     * @param keepers the nodes to ask
+     * @param replicas the nodes to ask
      */
-    public State lookUp(RequestId stream, Collection<VmId> keepers, Instant now) {
+    public State lookUp(RequestId stream, Collection<VmId> replicas, Instant now) {
         Lookup lookup = lookups.get(stream);
         if (lookup == null) {
             if (lookups.size() >= MAX_LOOKUPS) {
@@ -60,18 +60,18 @@
             lookup = new Lookup(now);
             lookups.put(stream, lookup);
         }
-        if (!keepers.isEmpty() && lookup.unaware.containsAll(keepers)) {
+        if (!replicas.isEmpty() && lookup.negativeReplies.containsAll(replicas)) {
             return State.UNKNOWN;
         }
         return now.isBefore(lookup.startedAt.plus(TIMEOUT)) ? State.SEARCHING : State.UNANSWERED;
     }
 
     /** Records that a node does not know some streams; it may still learn of those that have just begun. */
-    public void onUnknown(VmId keeper, Collection<RequestId> streams, Instant now) {
+    public void onUnknown(VmId replica, Collection<RequestId> streams, Instant now) {
         for (RequestId stream : streams) {
             Lookup lookup = lookups.get(stream);
             if (lookup != null && !now.isBefore(lookup.startedAt.plus(SETTLING_TIME))) {
-                lookup.unaware.add(keeper);
+                lookup.negativeReplies.add(replica);
             }
         }
     }
@@ -82,10 +82,10 @@
     }
 
     /** The streams to ask a node for now, of those that are due. */
-    public List<RequestId> queries(VmId keeper, Instant now) {
+    public List<RequestId> queries(VmId replica, Instant now) {
         List<RequestId> queries = new ArrayList<>();
         lookups.forEach((stream, lookup) -> {
-            if (!now.isBefore(lookup.askDue) && !lookup.unaware.contains(keeper)) {
+            if (!now.isBefore(lookup.askDue) && !lookup.negativeReplies.contains(replica)) {
                 queries.add(stream);
             }
         });
--- a/wagtaillug-core/src/test/java/org/wagtaillug/stream/StreamLookupsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/stream/StreamLookupsTest.java
@@ -17,7 +17,7 @@
     private static final VmId TWO = new VmId("two");
 
     @Test
-    void aStreamIsUnknownWhenAllKeepersSaySo() {
+    void aStreamIsUnknownWhenAllReplicasSaySo() {
         StreamLookups lookups = new StreamLookups();
         assertThat(lookups.lookUp(STREAM, List.of(ONE, TWO), NOW)).isEqualTo(StreamLookups.State.SEARCHING);
         lookups.onUnknown(ONE, List.of(STREAM), LATER);
@@ -26,7 +26,7 @@
         assertThat(lookups.lookUp(STREAM, List.of(ONE, TWO), LATER)).isEqualTo(StreamLookups.State.UNKNOWN);
     }
 
-    /** Guards against a caller that takes its stream up before the message about it has reached the keepers. */
+    /** Guards against a caller that takes its stream up before the message about it has reached the replicas. */
     @Test
     void aStreamThatHasJustBegunIsNotUnknown() {
         StreamLookups lookups = new StreamLookups();
@@ -36,7 +36,7 @@
         assertThat(lookups.queries(ONE, LATER)).containsExactly(STREAM);
     }
 
-    /** Guards against callers that wait for keepers that do not answer. */
+    /** Guards against callers that wait for replicas that do not answer. */
     @Test
     void aLookupEndsWithoutAnswers() {
         StreamLookups lookups = new StreamLookups();
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -143,7 +143,7 @@
                         .setAgeMillis(report.age().toMillis())));
         heartbeat.paths().unreachable().forEach(pool -> message.addUnreachablePools(pool.value()));
         return message.setAcceptsTunnels(heartbeat.paths().acceptsTunnels())
-                .setKeepsStreamOrigins(heartbeat.keepsStreamOrigins())
+                .setStoresStreamOrigins(heartbeat.storesStreamOrigins())
                 .build();
     }
 
@@ -239,7 +239,7 @@
                 rateLimits,
                 departures,
                 decodePaths(message),
-                message.getKeepsStreamOrigins());
+                message.getStoresStreamOrigins());
     }
 
     private static ServingMessage.Paths decodePaths(HeartbeatMessage message) {
