Log lines that show the segments of prompts and what is left at an upstream

No line showed which requests share a segment of their prompts, nor how many attempts were at an upstream whose answers broke, so that requests that crash upstreams could not be told from bystanders. accept shows the first twelve segments that other requests may share, end the incarnation of the upstream and the attempts of the node that are still there.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.function.Consumer;
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.directory.Upstream;
@@ -9,11 +10,17 @@
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.routing.PrefixSegment;
 import org.wagtaillug.serving.ServingEffect.Outcome;
 import org.wagtaillug.stream.StreamOrigin;
 
 /** Writes the log lines of a request, from its arrival to its end. docs/OPERATIONS.md describes them. */
 final class FlowLog {
+    /** Callers choose the number and the length of their segments, so a line holds only the first of them. */
+    private static final int MAX_SEGMENTS = 12;
+
+    private static final int MAX_SEGMENT_LENGTH = 40;
+
     private final Consumer<ServingEffect> effects;
 
     FlowLog(Consumer<ServingEffect> effects) {
@@ -45,12 +52,23 @@
                 .field("content", flow.request().fingerprint());
         flow.request().resumption().ifPresent(resumption -> line.field("resumes_after", resumption.lastEvent())
                 .field("resumes", resumption.stream().map(Object::toString).orElse("-")));
+        if (!flow.request().sharedSegments().isEmpty()) {
+            line.field("segments", segments(flow.request().sharedSegments()));
+        }
         if (shutdown.started()) {
             line.field("since_signal_ms", shutdown.since(now).toMillis());
         }
         write(line);
     }
 
+    private static List<String> segments(List<PrefixSegment> segments) {
+        return segments.stream()
+                .limit(MAX_SEGMENTS)
+                .map(PrefixSegment::id)
+                .map(id -> id.substring(0, Math.min(id.length(), MAX_SEGMENT_LENGTH)))
+                .toList();
+    }
+
     void step(Flow flow, StepOrders.Answer answer) {
         String outcome =
                 switch (answer.outcome()) {
@@ -140,12 +158,18 @@
                 .field("since_sent_ms", millis(flow.sentAt(), now)));
     }
 
-    /** Logs the end of an attempt. */
-    void end(Flow flow, Upstream upstream, ServingEvent.SendEnded ended, Duration took) {
+    /**
+     * Logs the end of an attempt.
+     *
+     * @param inFlight the attempts of this node that are still at the upstream
+     */
+    void end(Flow flow, Upstream upstream, ServingEvent.SendEnded ended, int inFlight, Duration took) {
         Decision.Builder line = line("end", flow)
                 .field("attempt", flow.attempts())
                 .field("upstream", upstream.id())
+                .field("incarnation", upstream.listing().incarnation())
                 .field("end", ended.end())
+                .field("in_flight", inFlight)
                 .field("took_ms", took.toMillis());
         write(withNotice(line, ended.notice().orElse(UpstreamNotice.NONE)));
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -444,7 +444,7 @@
         }
         flow.clearTarget(now);
         outcomes.record(flow, upstream, ended, now);
-        log.end(flow, upstream, ended, Duration.between(flow.sentAt(), now));
+        log.end(flow, upstream, ended, health.inFlight(upstream.id()), Duration.between(flow.sentAt(), now));
         boolean successful = end instanceof SendEnd.Passed;
         ended.notice()
                 .ifPresent(notice -> notices.onAnswer(upstream.listing(), notice, successful, flow.sentAt(), now));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
@@ -42,6 +42,11 @@
         return Integer.toHexString(Objects.hash(host, path, items, itemKey, promptSegments, promptTokens));
     }
 
+    /** The segments that other requests may share; the last one belongs to this request or to its session. */
+    public List<PrefixSegment> sharedSegments() {
+        return promptSegments.isEmpty() ? List.of() : promptSegments.subList(0, promptSegments.size() - 1);
+    }
+
     /** Returns the number of items of a step. */
     public int itemsOf(int step) {
         return step < items.size() ? items.get(step) : 0;
