Failing test: prompts with one segment that crash engines, one after the other

Callers of any node send prompts with one segment under which each engine ends that answers them, beside sound requests with the same key and first segments.

--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -45,6 +45,7 @@
 import org.wagtaillug.route.RouteTable;
 import org.wagtaillug.route.ServingConfiguration;
 import org.wagtaillug.route.Step;
+import org.wagtaillug.routing.PrefixSegment;
 
 /**
  * Simulates several nodes, a store, stage servers and messages in memory, with a common clock. Upstreams of requests
@@ -318,12 +319,20 @@
 
     /** Sends a request with the given timeout of its caller. */
     void request(int node, RequestId id, String path, Optional<String> key, Duration callerTimeout, Integer... items) {
-        arrive(node(node), id, path, key, callerTimeout, List.of(items), Optional.empty());
+        arrive(node(node), id, path, key, callerTimeout, List.of(items), List.of(), Optional.empty());
     }
 
     /** Sends a request that takes up an interrupted stream, or begins one. */
     void stream(VmId node, RequestId id, String route, Duration callerTimeout, Optional<Resumption> resumption) {
-        arrive(node, id, "/" + route + "/1", Optional.of(KEY), callerTimeout, List.of(), resumption);
+        arrive(node, id, "/" + route + "/1", Optional.of(KEY), callerTimeout, List.of(), List.of(), resumption);
+    }
+
+    /** Sends a request with a prompt of segments of 300 tokens each. */
+    void prompt(VmId node, RequestId id, String route, Duration callerTimeout, List<String> segments) {
+        List<PrefixSegment> prompt = segments.stream()
+                .map(segment -> new PrefixSegment(segment, 300))
+                .toList();
+        arrive(node, id, "/" + route + "/1", Optional.of(KEY), callerTimeout, List.of(), prompt, Optional.empty());
     }
 
     private void arrive(
@@ -333,6 +342,7 @@
             Optional<String> key,
             Duration callerTimeout,
             List<Integer> items,
+            List<PrefixSegment> prompt,
             Optional<Resumption> resumption) {
         handle(
                 node,
@@ -344,7 +354,7 @@
                         callerTimeout,
                         items,
                         Optional.of("piece-key"),
-                        List.of(),
+                        prompt,
                         1000,
                         resumption)));
     }
