Prompts under which upstreams crash are kept away from all upstreams

Nothing related the end of an upstream to the prompts that it ran; a stream that had begun was sent on to as many upstreams as the budget for retries bore, and a caller's next try began anew at another node.

Each node now reports the runs of upstreams that ended under its attempts, with the shared segments of their prompts, to three nodes, in its heartbeats and at once. These pool the reports. A segment that was present at three crashes (five if it was completed in the half minute before) and completed at none of them since is quarantined; crashes that it explains count against no other. Of segments that were always together, only prompts with all of them are refused. All nodes refuse such prompts at once as not run (307), also those that wait for steps or for an upstream or have been sent but not answered. One of the three writes the state to the store, so that it outlasts the restart of all nodes. A completion lifts it; one node sends a single trial after 8 s, then each ten minutes. A request that may be the cause is not sent to a third upstream.

Why this: a completed answer is what a prompt that crashes upstreams never has, and it tells the cause from requests that were there at the same time. Retries of streams count no executions once an event has passed, so a limit of attempts alone does not help.

Its stand-in let short answers end as complete before the engine crashed, which an engine that ends when it begins to write never does; the check is unchanged. RequestFlows gave its retries to RetryDecisions.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
@@ -29,6 +29,16 @@
         public boolean relayed() {
             return false;
         }
+    },
+    /**
+     * Which prompts are quarantined, written by one node; read by the few nodes that decide it, which tell the others, and more
+     * often while upstreams crash.
+     */
+    QUARANTINE(Duration.ZERO, Duration.ofSeconds(30)) {
+        @Override
+        public boolean relayed() {
+            return false;
+        }
     };
 
     /** Added to the time between two reads, for a slow response and the message that relays it. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -15,6 +15,7 @@
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
+import org.wagtaillug.quarantine.QuarantineReport;
 import org.wagtaillug.rollout.RolloutSample;
 import org.wagtaillug.stream.StreamOrigin;
 
@@ -33,6 +34,7 @@
      * @param departures the upstreams that have announced that they leave; the latest ones if there are many
      * @param paths what the sender reaches, and offers to other nodes
      * @param storesStreamOrigins whether the sender answers queries for the origins of streams
+     * @param quarantine what the sender knows of prompts that crash upstreams
      */
     record Heartbeat(
             boolean reply,
@@ -44,7 +46,8 @@
             List<RateLimitReport> rateLimits,
             List<DepartureReport> departures,
             Paths paths,
-            boolean storesStreamOrigins)
+            boolean storesStreamOrigins,
+            QuarantineReport quarantine)
             implements ServingMessage {
         /** Makes a defensive copy of the lists. */
         public Heartbeat {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Duty.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Duty.java
@@ -23,7 +23,9 @@
         /** It accepts tunnels. */
         TUNNELS,
         /** It answers queries for the origins of streams. */
-        STREAM_ORIGINS
+        STREAM_ORIGINS,
+        /** It reports which prompts crash upstreams. */
+        QUARANTINE
     }
 
     /** Makes defensive copies of the collections. */
@@ -61,4 +63,14 @@
     public static Duty ofStreamWriter(List<VmId> ranking) {
         return new Duty(ranking, 1, Optional.empty(), EnumSet.of(Requirement.STREAM_ORIGINS, Requirement.STORE));
     }
+
+    /** Creates the duty to decide which prompts are quarantined. */
+    public static Duty ofQuarantine(List<VmId> ranking, int holders) {
+        return new Duty(ranking, holders, Optional.empty(), Set.of(Requirement.QUARANTINE));
+    }
+
+    /** Creates the duty to write to the store which prompts are quarantined. */
+    public static Duty ofQuarantineWriter(List<VmId> ranking) {
+        return new Duty(ranking, 1, Optional.empty(), EnumSet.of(Requirement.QUARANTINE, Requirement.STORE));
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -81,6 +81,7 @@
         private boolean serving;
         private boolean storeLost;
         private boolean storesStreamOrigins;
+        private boolean quarantines;
         private Paths paths = Paths.ALL_REACHABLE;
         private Map<FeedName, Long> positions = Map.of();
         private List<QueueDelayEstimate> waits = List.of();
@@ -126,6 +127,7 @@
         peer.serving = heartbeat.serving();
         peer.storeLost = heartbeat.storeLost();
         peer.storesStreamOrigins = heartbeat.storesStreamOrigins();
+        peer.quarantines = heartbeat.quarantine().supported();
         peer.paths = heartbeat.paths();
         peer.positions = heartbeat.positions();
         peer.waits = heartbeat.waits();
@@ -188,6 +190,7 @@
                         case STORE -> !peer.storeLost;
                         case TUNNELS -> peer.paths.acceptsTunnels();
                         case STREAM_ORIGINS -> peer.storesStreamOrigins;
+                        case QUARANTINE -> peer.quarantines;
                     };
             if (!met) {
                 return false;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/result/ResultCode.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/result/ResultCode.java
@@ -58,6 +58,8 @@
     UPSTREAM_FULL(305, 503),
     /** No upstream of the version that began the interrupted stream is available, or that version is not known. */
     STREAM_NOT_RESUMABLE(306, 503),
+    /** Upstreams have crashed under prompts with the same segment; the request has not been sent to any. */
+    PROMPT_QUARANTINED(307, 503),
     /** The outcome of a non-idempotent call is unknown. */
     OUTCOME_UNKNOWN(400, 502),
     /** The key is older than the retention of the log. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/route/ServingConfiguration.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/route/ServingConfiguration.java
@@ -38,6 +38,11 @@
         return routes.streamsResumable();
     }
 
+    /** Whether any pool consists of model engines. */
+    public boolean enginesInUse() {
+        return pools.values().stream().anyMatch(PoolProfile::engine);
+    }
+
     /** The pools whose calls are scheduled in batches, in the order of their ids. */
     public List<PoolId> scheduledPools() {
         List<PoolId> scheduled = new ArrayList<>();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -53,7 +53,8 @@
     private final Map<FeedName, Boolean> reachable = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Instant> restoredAt = new EnumMap<>(FeedName.class);
     private BiConsumer<FeedName, Instant> restored = (name, at) -> {};
-    private final Set<FeedName> active = EnumSet.complementOf(EnumSet.of(FeedName.ROLLOUTS, FeedName.STREAMS));
+    private final Set<FeedName> active =
+            EnumSet.complementOf(EnumSet.of(FeedName.ROLLOUTS, FeedName.STREAMS, FeedName.QUARANTINE));
     private boolean reader = true;
 
     /** Applies feed records. */
@@ -98,6 +99,11 @@
         }
     }
 
+    /** Requests a read of a feed that does not wait for the pause between two reads. */
+    void request(FeedName name, Instant now) {
+        readers.get(name).request(now);
+    }
+
     /** Whether this node receives new records of a feed, from the store or from peers. */
     boolean fresh(FeedName name, Instant now) {
         return feeds.get(name).complete() && !readers.get(name).cutOff(now, name.relayTimeout());
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -46,6 +46,8 @@
     private int attempts;
     private int executions;
     private int stepRestarts;
+    private int crashes;
+    private boolean trial;
     private boolean readingPrompt;
     private boolean answerStarted;
     private boolean mayHaveRun;
@@ -342,6 +344,25 @@
         return stepRestarts;
     }
 
+    /** Records that an upstream may have crashed while it answered this request. */
+    void recordCrash() {
+        crashes++;
+    }
+
+    /** How often an upstream may have crashed while it answered this request. */
+    int crashes() {
+        return crashes;
+    }
+
+    /** Whether this request is sent in spite of a quarantine, to find out whether that is still needed. */
+    boolean trial() {
+        return trial;
+    }
+
+    void startTrial() {
+        trial = true;
+    }
+
     Set<VmId> triedUpstreams() {
         return triedUpstreams;
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -40,6 +40,12 @@
     /** The duty to write the origins of streams to the store, with the same ranking. */
     static final String STREAM_WRITER_DUTY = "streams/store";
 
+    /** The duty to decide which prompts are quarantined. */
+    static final String QUARANTINE_DUTY = "quarantine";
+
+    /** The duty to write to the store which prompts are quarantined, with the same ranking. */
+    static final String QUARANTINE_WRITER_DUTY = "quarantine/store";
+
     /** Each node has a ranking of its own, so that nodes without a path divide their requests among many peers. */
     private static final String TUNNEL_DUTY = "tunnels of ";
 
@@ -52,6 +58,7 @@
     private final BooleanSupplier acceptsWork;
     private List<PoolId> scheduledPools = List.of();
     private boolean streamsResumable;
+    private boolean enginesInUse;
     private Set<VmId> connected = Set.of();
     private boolean rosterRead;
     private boolean rosterChanged;
@@ -82,6 +89,7 @@
     void configure(ServingConfiguration latest) {
         scheduledPools = latest.scheduledPools();
         streamsResumable = latest.streamsResumable();
+        enginesInUse = latest.enginesInUse();
         updateDuties();
     }
 
@@ -114,6 +122,12 @@
             duties.put(STREAM_REPLICA_DUTY, Duty.ofStreamReplicas(ranking, StreamExchange.REPLICAS));
             duties.put(STREAM_WRITER_DUTY, Duty.ofStreamWriter(ranking));
         }
+        if (enginesInUse) {
+            // The nodes that store the origins of streams are watched by all nodes already.
+            List<VmId> ranking = roster.ranking(STREAM_REPLICA_DUTY);
+            duties.put(QUARANTINE_DUTY, Duty.ofQuarantine(ranking, QuarantineExchange.DECIDERS));
+            duties.put(QUARANTINE_WRITER_DUTY, Duty.ofQuarantineWriter(ranking));
+        }
         if (rolloutInProgress) {
             duties.put(ROLLOUT_DUTY, Duty.ofStoreReaders(roster.ranking(ROLLOUT_DUTY), 1));
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -19,7 +18,6 @@
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.health.EngineTimes;
 import org.wagtaillug.health.UpstreamHealth;
-import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.notice.UpstreamNotice;
@@ -28,7 +26,6 @@
 import org.wagtaillug.policy.PolicyFeatures;
 import org.wagtaillug.result.Refusal;
 import org.wagtaillug.result.ResultCode;
-import org.wagtaillug.retry.RetryBudget;
 import org.wagtaillug.route.Customer;
 import org.wagtaillug.route.Route;
 import org.wagtaillug.route.RouteKind;
@@ -49,9 +46,6 @@
     /** If all upstreams are too busy, a request waits for its latency target divided by this and is then refused. */
     private static final int ADMISSION_WAIT_DIVISOR = 8;
 
-    /** Limit on attempts of one request that was not executed, independent of its route. */
-    private static final int MAX_ATTEMPTS = 3;
-
     private static final int MAX_STEP_RESTARTS = 1;
 
     /** Status of an upstream that has no room for the request. */
@@ -68,10 +62,11 @@
     private final Roster roster;
     private final UpstreamChooser chooser;
     private final FlowSteps steps;
-    private final ServingSetup.RetryLimits retryLimits;
+    private final RetryDecisions retries;
     private final RolloutExchange rollouts;
     private final NoticeExchange notices;
     private final StreamExchange streams;
+    private final QuarantineExchange quarantine;
     private final AttemptSelection selection;
     private final AttemptOutcomes outcomes;
     private final Shutdown shutdown;
@@ -83,7 +78,6 @@
     private final Consumer<ServingEffect> effects;
     private final FlowLog log;
     private final Map<RequestId, Flow> flows = new LinkedHashMap<>();
-    private final Map<PoolId, RetryBudget> budgets = new HashMap<>();
     private final Map<RequestId, Instant> admissionDeadlines = new LinkedHashMap<>();
     private final Set<RequestId> unconfirmed = new LinkedHashSet<>();
     private ServingConfiguration configuration;
@@ -94,28 +88,27 @@
             UpstreamState upstreams,
             Roster roster,
             StepOrders orders,
-            RolloutExchange rollouts,
-            NoticeExchange notices,
-            StreamExchange streams,
+            Exchanges exchanges,
             Shutdown shutdown,
             Consumer<ServingEffect> effects) {
         this.directory = upstreams.directory();
         this.health = upstreams.health();
         this.outcomes = new AttemptOutcomes(upstreams);
         this.roster = roster;
-        this.notices = notices;
+        this.notices = exchanges.notices();
+        this.rollouts = exchanges.rollouts();
+        this.streams = exchanges.streams();
+        this.quarantine = exchanges.quarantine();
         this.features = setup.features();
         this.chooser = new UpstreamChooser(
                 directory, health, notices.upstreamLimits(roster, setup.coldBound()), setup.domain(), features);
         this.log = new FlowLog(effects);
-        this.streams = streams;
         this.selection = new AttemptSelection(upstreams, chooser, rollouts, streams, log);
         StepTimes times = new StepTimes(engineTimes, features);
         this.pathEstimate = new PathEstimate(times);
         this.steps = new FlowSteps(
                 directory, orders, times, (flow, now) -> selection.expectedDomain(flow, configuration, now), features);
-        this.retryLimits = setup.retryLimits();
-        this.rollouts = rollouts;
+        this.retries = new RetryDecisions(setup.retryLimits(), roster, remainingTime, shutdown, quarantine);
         this.shutdown = shutdown;
         this.effects = effects;
         this.inputs = new InputRelease(steps, engineTimes, features, log);
@@ -188,13 +181,30 @@
             return;
         }
         flows.put(request.id(), flow);
-        budget(flow.pool()).onRequest(now);
+        retries.onRequest(flow.pool(), now);
         log.accept(flow, configuration.version(), shutdown, now);
-        if (!rejectIfEstimatedLate(flow, now)) {
+        if (!refuseIfQuarantined(flow, now) && !rejectIfEstimatedLate(flow, now)) {
             advance(flow, now);
         }
     }
 
+    /** Refuses a request whose prompt crashes upstreams. Returns whether it was refused. */
+    private boolean refuseIfQuarantined(Flow flow, Instant now) {
+        Optional<String> reason = quarantine.reasonToRefuse(flow, now);
+        reason.ifPresent(message -> fail(flow, ResultCode.PROMPT_QUARANTINED, message, now));
+        return reason.isPresent();
+    }
+
+    /** Ends the requests that must not be sent any more; answers that have begun go on. */
+    void onQuarantineChanged(Instant now) {
+        for (Flow flow : List.copyOf(flows.values())) {
+            if (!flow.answerStarted() && quarantine.concerns(flow, now)) {
+                cancelAttempt(flow, now);
+                refuseIfQuarantined(flow, now);
+            }
+        }
+    }
+
     /**
      * Rejects a request whose estimated time through all steps exceeds its latency target by more than an item may
      * wait past it in a pool. Returns whether it was rejected.
@@ -210,20 +220,13 @@
         if (estimate.waits().isZero() || !excess.isPositive()) {
             return false;
         }
-        String message = "estimated time to the first event is "
-                + estimate.total().toMillis() + " ms, beyond the latency target";
+        long millis = estimate.total().toMillis();
+        String message = "estimated time to the first event is " + millis + " ms, beyond the latency target";
         Duration retryAfter = excess.compareTo(DEFAULT_RETRY_AFTER) < 0 ? DEFAULT_RETRY_AFTER : excess;
         refuse(flow, ResultCode.STEP_OVERLOADED, retryAfter, message, now);
         return true;
     }
 
-    private RetryBudget budget(PoolId pool) {
-        return budgets.computeIfAbsent(
-                pool,
-                id -> new RetryBudget(
-                        retryLimits.window(), retryLimits.ratio(), retryLimits.fixed(), roster::sharingNodes));
-    }
-
     /** Orders the steps that are due, or sends the request when all steps are completed. */
     private void advance(Flow flow, Instant now) {
         if (flow.awaitsOrigin() && !bindToStream(flow, now)) {
@@ -317,6 +320,9 @@
     }
 
     private void send(Flow flow, Instant now) {
+        if (refuseIfQuarantined(flow, now)) {
+            return;
+        }
         if (flow.inputsReleased()) {
             // The inputs were released during an earlier attempt; another upstream would not find them.
             restartSteps(flow, DEFAULT_RETRY_AFTER, now);
@@ -395,6 +401,7 @@
             addSample(flow, false, now);
         }
         finishReading(flow);
+        quarantine.onAnswer(flow.target().get(), flow.sentAt());
         log.answerStarted(flow, flow.target().get(), started.notice().orElse(UpstreamNotice.NONE), now);
         Listing upstream = flow.target().get().listing();
         started.notice().ifPresent(notice -> notices.onAnswer(upstream, notice, true, flow.sentAt(), now));
@@ -449,9 +456,15 @@
         ended.notice()
                 .ifPresent(notice -> notices.onAnswer(upstream.listing(), notice, successful, flow.sentAt(), now));
         switch (end) {
-            case SendEnd.Passed ignored -> onPassed(flow, now);
+            case SendEnd.Passed ignored -> {
+                quarantine.onCompleted(flow.request(), upstream, now);
+                onPassed(flow, now);
+            }
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
-            case SendEnd.Unsent ignored -> retryUnsent(flow, now);
+            case SendEnd.Unsent ignored -> {
+                quarantine.onConnectionRefused(upstream, now);
+                retryUnsent(flow, now);
+            }
             case SendEnd.NoPath ignored -> retryUnsent(flow, now);
             case SendEnd.NotRun notRun -> {
                 if (notRun.status() == STATUS_UNAVAILABLE) {
@@ -487,7 +500,7 @@
 
     /** Retries a request of which no byte was sent, so that the retry counts as one for no upstream. */
     private void retryUnsent(Flow flow, Instant now) {
-        if (flow.attempts() < MAX_ATTEMPTS) {
+        if (retries.attemptsLeft(flow)) {
             send(flow, now);
             return;
         }
@@ -496,8 +509,7 @@
 
     /** Retries a request that was not executed at another upstream. */
     private void retryElsewhere(Flow flow, Instant now) {
-        boolean retry = flow.attempts() < MAX_ATTEMPTS && budget(flow.pool()).tryAcquire(now);
-        if (retry) {
+        if (retries.tryAfterRejection(flow, now)) {
             send(flow, now);
             return;
         }
@@ -510,7 +522,7 @@
             return;
         }
         flow.recordExecution();
-        if (!takeRetry(flow, now)) {
+        if (!retries.tryAfterExecution(flow, now)) {
             effects.accept(new ServingEffect.ForwardFailure(flow.request().id()));
             finish(flow, Outcome.FAILED, "upstream failure forwarded", now);
             return;
@@ -526,7 +538,9 @@
         if (!flow.answerStarted()) {
             flow.recordExecution();
         }
-        if (!takeRetry(flow, now)) {
+        flow.recordCrash();
+        quarantine.onBroken(flow.request(), upstream, now);
+        if (!retries.tryAfterExecution(flow, now)) {
             fail(
                     flow,
                     ResultCode.OUTCOME_UNKNOWN,
@@ -537,15 +551,6 @@
         send(flow, now);
     }
 
-    /** Whether a request that may have been executed can be retried; takes a retry from the budget if so. */
-    private boolean takeRetry(Flow flow, Instant now) {
-        boolean allowed = flow.route().repeatable()
-                && flow.executions() < flow.route().attempts()
-                && now.isBefore(flow.deadline())
-                && shutdown.hasTimeFor(remainingTime.fromSending(flow, now), now);
-        return allowed && budget(flow.pool()).tryAcquire(now);
-    }
-
     /** Ends a request that cannot be served, with the answer that its state allows: cut, unknown outcome or not run. */
     private void fail(Flow flow, ResultCode code, String message, Instant now) {
         if (flow.answerStarted()) {
@@ -561,8 +566,8 @@
             finish(flow, Outcome.LOST, "refused " + unknown, now);
             return;
         }
-        Duration retryAfter = code == ResultCode.SHUTTING_DOWN ? Duration.ZERO : DEFAULT_RETRY_AFTER;
-        refuse(flow, code, retryAfter, message, now);
+        boolean elsewhere = code == ResultCode.SHUTTING_DOWN || code == ResultCode.PROMPT_QUARANTINED;
+        refuse(flow, code, elsewhere ? Duration.ZERO : DEFAULT_RETRY_AFTER, message, now);
     }
 
     /** Refuses a request as not run; if no upstream received it or all of them reported that they did not run it. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
@@ -1,10 +1,13 @@
 package org.wagtaillug.serving;
 
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.SegmentId;
 import org.wagtaillug.routing.PrefixSegment;
 
 /**
@@ -32,6 +35,9 @@
         List<PrefixSegment> promptSegments,
         int promptTokens,
         Optional<Resumption> resumption) {
+    private static final int MAX_SHARED_SEGMENTS = 64;
+
+    /** Makes defensive copies of the lists. */
     public RoutedRequest {
         items = List.copyOf(items);
         promptSegments = List.copyOf(promptSegments);
@@ -47,6 +53,20 @@
         return promptSegments.isEmpty() ? List.of() : promptSegments.subList(0, promptSegments.size() - 1);
     }
 
+    /** The ids of the first of these segments; callers choose how many there are. */
+    public Set<SegmentId> sharedSegmentIds() {
+        Set<SegmentId> ids = new LinkedHashSet<>();
+        for (PrefixSegment segment : sharedSegments()) {
+            if (ids.size() == MAX_SHARED_SEGMENTS) {
+                break;
+            }
+            if (!segment.id().isBlank()) {
+                ids.add(SegmentId.of(segment.id()));
+            }
+        }
+        return ids;
+    }
+
     /** Returns the number of items of a step. */
     public int itemsOf(int step) {
         return step < items.size() ? items.get(step) : 0;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -63,6 +63,7 @@
     private final NoticeExchange notices;
     private final UpstreamPaths paths;
     private final StreamExchange streams;
+    private final QuarantineExchange quarantine;
     private final StepOrders orders;
     private final RequestFlows flows;
     private final Shutdown shutdown;
@@ -86,15 +87,14 @@
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
         orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
         streams = new StreamExchange(setup, peers, () -> !shutdown.started(), effects::add);
+        quarantine = new QuarantineExchange(setup, peers, () -> !shutdown.started(), effects::add);
         flows = new RequestFlows(
                 setup,
                 new UpstreamState(
                         directory, health, paths, time -> feeds.confirm(FeedName.DIRECTORY, time, currentTime)),
                 roster,
                 orders,
-                rollouts,
-                notices,
-                streams,
+                new Exchanges(rollouts, notices, streams, quarantine),
                 shutdown,
                 effects::add);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, currentTime));
@@ -149,6 +149,9 @@
             membership.onPathsChanged(paths, heartbeat(true, now), now);
             housekeepingDue = now;
         }
+        if (quarantine.pollChanged()) {
+            flows.onQuarantineChanged(now);
+        }
         feeds.setActive(FeedName.ROLLOUTS, rollouts.inProgress());
         feeds.read(now);
         reportReadiness();
@@ -161,6 +164,7 @@
         switch (written.feed()) {
             case MEMBERSHIP -> membership.onRecordWritten(written, now);
             case STREAMS -> streams.onWritten(written);
+            case QUARANTINE -> quarantine.onWritten(written);
             case CONFIGURATION, DIRECTORY, ROLLOUTS -> {
                 // A rollout status that was not written is written again when it is due.
             }
@@ -196,6 +200,14 @@
         feeds.setReader(membership.readsStore(now));
         streams.onTick(feeds.fresh(FeedName.STREAMS, now), now);
         feeds.setActive(FeedName.STREAMS, streams.isReplica());
+        quarantine.onTick(feeds.fresh(FeedName.QUARANTINE, now), now);
+        feeds.setActive(FeedName.QUARANTINE, quarantine.decides(now));
+        if (quarantine.pollReadDue(now)) {
+            feeds.request(FeedName.QUARANTINE, now);
+        }
+        for (VmId receiver : quarantine.pollReceivers(now)) {
+            effects.add(new ServingEffect.SendToPeer(receiver, heartbeat(true, now)));
+        }
         onRolloutTick(now);
         feeds.catchUp(now);
     }
@@ -257,13 +269,15 @@
                 notices.rateLimits().reports(now),
                 directory.departures(now),
                 paths.report(),
-                true);
+                true,
+                quarantine.report(now));
     }
 
     private void onPeerMessage(NodeId sender, ServingMessage message, Instant now) {
         switch (message) {
             case ServingMessage.Heartbeat heartbeat -> {
                 notices.onHeartbeat(sender, heartbeat, now);
+                quarantine.onReport(sender, heartbeat.quarantine(), now);
                 if (membership.onHeartbeat(sender, heartbeat, reply -> heartbeat(reply, now), now)) {
                     orders.onPeerRestarted(sender.vm(), now);
                     streams.onPeerRestarted(sender.vm());
@@ -319,6 +333,10 @@
                 streams.onRecord(record, now);
                 yield true;
             }
+            case QUARANTINE -> {
+                quarantine.onRecord(record, now);
+                yield true;
+            }
         };
     }
 
@@ -327,6 +345,7 @@
             case MEMBERSHIP -> membership.onStoreRestored(now);
             case CONFIGURATION -> rollouts.onStoreRestored(now);
             case STREAMS -> streams.onStoreRestored();
+            case QUARANTINE -> quarantine.onStoreRestored();
             case DIRECTORY, ROLLOUTS -> {
                 // Upstreams write their entries again; statuses are written with those of the configuration.
             }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
@@ -16,6 +16,7 @@
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage.Heartbeat;
 import org.wagtaillug.message.ServingMessage.Paths;
+import org.wagtaillug.quarantine.QuarantineReport;
 
 class PeersTest {
     private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
@@ -72,7 +73,17 @@
             return;
         }
         Heartbeat heartbeat = new Heartbeat(
-                reply, true, false, false, Map.of(), List.of(), List.of(), List.of(), Paths.ALL_REACHABLE, true);
+                reply,
+                true,
+                false,
+                false,
+                Map.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                Paths.ALL_REACHABLE,
+                true,
+                QuarantineReport.UNSUPPORTED);
         nodes.get(receiver).onHeartbeat(new NodeId(sender, 1), heartbeat, now);
         if (!reply && !nodes.get(receiver).watches(sender)) {
             deliver(receiver, sender, true);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptFleet.java
@@ -388,7 +388,8 @@
             world.handle(attempt.node, new ServingEvent.AnswerStarted(request, number));
             world.handle(attempt.node, new ServingEvent.EventPassed(request, number));
         }
-        if (attempt.passed == attempt.events) {
+        // An engine that a prompt crashes never completes the answer to it.
+        if (attempt.passed == attempt.events && caller.sound) {
             attempts.remove(attempt);
             end(attempt.node, attempt.order, new SendEnd.Passed());
             return;
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -34,6 +34,7 @@
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.UpstreamNotice;
+import org.wagtaillug.quarantine.QuarantineReport;
 import org.wagtaillug.rollout.RolloutOrder;
 import org.wagtaillug.rollout.RolloutStatus;
 import org.wagtaillug.route.BatchContract;
@@ -430,7 +431,8 @@
                 heartbeat.rateLimits(),
                 heartbeat.departures(),
                 heartbeat.paths(),
-                false);
+                false,
+                QuarantineReport.UNSUPPORTED);
     }
 
     private Duration delay(ServingEffect.SendToPeer send) {
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -45,6 +45,7 @@
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
+import org.wagtaillug.quarantine.QuarantineReport;
 import org.wagtaillug.rollout.RolloutSample;
 import org.wagtaillug.stream.StreamOrigin;
 
@@ -144,6 +145,7 @@
         heartbeat.paths().unreachable().forEach(pool -> message.addUnreachablePools(pool.value()));
         return message.setAcceptsTunnels(heartbeat.paths().acceptsTunnels())
                 .setStoresStreamOrigins(heartbeat.storesStreamOrigins())
+                .setQuarantine(QuarantineCodec.encode(heartbeat.quarantine()))
                 .build();
     }
 
@@ -239,7 +241,10 @@
                 rateLimits,
                 departures,
                 decodePaths(message),
-                message.getStoresStreamOrigins());
+                message.getStoresStreamOrigins(),
+                message.hasQuarantine()
+                        ? QuarantineCodec.decode(message.getQuarantine())
+                        : QuarantineReport.UNSUPPORTED);
     }
 
     private static ServingMessage.Paths decodePaths(HeartbeatMessage message) {
@@ -279,6 +284,7 @@
             case MEMBERSHIP -> FeedNameMessage.FEED_NAME_MEMBERSHIP;
             case ROLLOUTS -> FeedNameMessage.FEED_NAME_ROLLOUTS;
             case STREAMS -> FeedNameMessage.FEED_NAME_STREAMS;
+            case QUARANTINE -> FeedNameMessage.FEED_NAME_QUARANTINE;
         };
     }
 
@@ -289,9 +295,10 @@
             case FEED_NAME_MEMBERSHIP -> FeedName.MEMBERSHIP;
             case FEED_NAME_ROLLOUTS -> FeedName.ROLLOUTS;
             case FEED_NAME_STREAMS -> FeedName.STREAMS;
+            case FEED_NAME_QUARANTINE -> FeedName.QUARANTINE;
             case FEED_NAME_UNSPECIFIED, UNRECOGNIZED ->
                 throw new IllegalArgumentException("invalid feed " + name
-                        + "; expected CONFIGURATION, DIRECTORY, MEMBERSHIP, ROLLOUTS or STREAMS");
+                        + "; expected CONFIGURATION, DIRECTORY, MEMBERSHIP, ROLLOUTS, STREAMS or QUARANTINE");
         };
     }
 
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -21,10 +21,16 @@
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.SegmentId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
+import org.wagtaillug.quarantine.CompletionReport;
+import org.wagtaillug.quarantine.CrashReport;
+import org.wagtaillug.quarantine.QuarantineEntry;
+import org.wagtaillug.quarantine.QuarantineReport;
+import org.wagtaillug.quarantine.UpstreamRun;
 import org.wagtaillug.stream.StreamOrigin;
 
 class ServingCodecTest {
@@ -60,7 +66,24 @@
                                 new RateLimitReport(new VmId("i-2"), OptionalDouble.empty(), Duration.ZERO)),
                         List.of(new DepartureReport(new VmId("i-3"), 1_790_000_000_000L, Duration.ofSeconds(2))),
                         new ServingMessage.Paths(Set.of(new PoolId("encode"), new PoolId("model")), true),
-                        true),
+                        true,
+                        new QuarantineReport(
+                                true,
+                                List.of(new QuarantineEntry(
+                                        Set.of(new SegmentId("5c1e"), new SegmentId("91bd")),
+                                        3,
+                                        true,
+                                        4,
+                                        1,
+                                        Duration.ofSeconds(9))),
+                                List.of(new CrashReport(
+                                        new UpstreamRun(new VmId("i-1"), 1_790_000_000_000L),
+                                        Set.of(new SegmentId("5c1e")),
+                                        Duration.ofMillis(70))),
+                                List.of(new CompletionReport(
+                                        new SegmentId("e440"),
+                                        new UpstreamRun(new VmId("i-2"), 7),
+                                        Duration.ofMillis(20))))),
                 new ServingMessage.StreamsBegan(List.of(ORIGIN, UNSENT)),
                 new ServingMessage.StreamQuery(List.of(new RequestId("r-1"), new RequestId("r-2"))),
                 new ServingMessage.StreamReply(List.of(ORIGIN), List.of(new RequestId("r-2"))),
