Answers that end with their connection do not lift a quarantine

An answer may come with neither a length nor chunks, and an upstream that crashes between two events ends it in the same way as one that has finished it. Such an answer counted as completed, which shows that a prompt does not crash upstreams: prompts that do were let through again. It now shows nothing, unless the upstream turns out to have crashed: then its prompt was there.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
@@ -99,6 +99,11 @@
         unconfirmed.add(run, segments, now);
     }
 
+    /** Records that an answer ended with its connection, which shows something only if the upstream has crashed. */
+    public void onConnectionClosed(UpstreamRun run, Collection<SegmentId> segments, Instant now) {
+        unconfirmed.addUndelimited(run, segments, now);
+    }
+
     /**
      * Confirms completions after which the upstream has not crashed.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/UnconfirmedCompletions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/UnconfirmedCompletions.java
@@ -22,13 +22,22 @@
 
     private final Deque<Completion> completions = new ArrayDeque<>();
 
-    private record Completion(UpstreamRun run, Set<SegmentId> segments, Instant at) {}
+    private record Completion(UpstreamRun run, Set<SegmentId> segments, boolean delimited, Instant at) {}
 
     void add(UpstreamRun run, Collection<SegmentId> segments, Instant now) {
+        add(run, segments, true, now);
+    }
+
+    /** Adds an answer without a length or chunks, which is never confirmed. */
+    void addUndelimited(UpstreamRun run, Collection<SegmentId> segments, Instant now) {
+        add(run, segments, false, now);
+    }
+
+    private void add(UpstreamRun run, Collection<SegmentId> segments, boolean delimited, Instant now) {
         if (segments.isEmpty()) {
             return;
         }
-        completions.addLast(new Completion(run, Set.copyOf(segments), now));
+        completions.addLast(new Completion(run, Set.copyOf(segments), delimited, now));
         if (completions.size() > CAPACITY) {
             completions.removeFirst();
         }
@@ -53,8 +62,10 @@
         while (!completions.isEmpty()
                 && !now.isBefore(completions.getFirst().at().plus(CONFIRMATION_TIME))) {
             Completion completion = completions.removeFirst();
-            completed.add(completion.segments(), completion.run(), completion.at());
-            any = true;
+            if (completion.delimited()) {
+                completed.add(completion.segments(), completion.run(), completion.at());
+                any = true;
+            }
         }
         return any;
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/QuarantineExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/QuarantineExchange.java
@@ -133,9 +133,21 @@
         reportDue = true;
     }
 
-    /** Records that a request was answered completely. */
-    void onCompleted(RoutedRequest request, Upstream upstream, Instant now) {
-        quarantine.onCompleted(run(upstream), request.sharedSegmentIds(), now);
+    /**
+     * Records that an answer was passed. If it ended with its connection, the upstream may have crashed, which a probe shows.
+     *
+     * @param delimited whether it is known to be complete
+     */
+    void onPassed(Flow flow, Upstream upstream, boolean delimited, Instant now) {
+        Set<SegmentId> segments = flow.request().sharedSegmentIds();
+        if (delimited) {
+            quarantine.onCompleted(run(upstream), segments, now);
+            return;
+        }
+        quarantine.onConnectionClosed(run(upstream), segments, now);
+        if (flow.path() instanceof UpstreamPath.Direct && mayCrash(flow.request(), now)) {
+            effects.accept(new ServingEffect.ProbeUpstream(upstream.listing()));
+        }
     }
 
     /** Processes what another node knows. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -456,8 +456,8 @@
         ended.notice()
                 .ifPresent(notice -> notices.onAnswer(upstream.listing(), notice, successful, flow.sentAt(), now));
         switch (end) {
-            case SendEnd.Passed ignored -> {
-                quarantine.onCompleted(flow.request(), upstream, now);
+            case SendEnd.Passed passed -> {
+                quarantine.onPassed(flow, upstream, passed.delimited(), now);
                 onPassed(flow, now);
             }
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/SendEnd.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/SendEnd.java
@@ -33,8 +33,18 @@
      */
     record Failed(int status) implements SendEnd {}
 
-    /** The complete answer was sent to the caller. */
-    record Passed() implements SendEnd {}
+    /**
+     * The complete answer was sent to the caller.
+     *
+     * @param delimited whether a length or chunks showed where it ends; otherwise it ended with its connection, which a crash of
+     *     the upstream between two events ends as well
+     */
+    record Passed(boolean delimited) implements SendEnd {
+        /** Creates the end of an answer with a length or chunks. */
+        public Passed() {
+            this(true);
+        }
+    }
 
     /**
      * The connection failed, or the response does not belong to this request, which may have been executed.
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -117,7 +117,7 @@
                         .ifPresent(server -> paths.onCallEnded(server, ended.end(), now));
                 orders.scheduler().onCallEnded(ended.call(), ended.end(), ended.notice(), now);
             }
-            case ServingEvent.ConnectEnded ended -> paths.onConnectEnded(ended, now);
+            case ServingEvent.ConnectEnded ended -> onConnectEnded(ended, now);
             case ServingEvent.TunnelRequested requested -> paths.onTunnelRequested(requested, !shutdown.started(), now);
             case ServingEvent.ReleaseEnded ended ->
                 orders.scheduler().onReleaseEnded(ended.release(), ended.done(), ended.notice(), now);
@@ -160,6 +160,13 @@
         return result;
     }
 
+    private void onConnectEnded(ServingEvent.ConnectEnded ended, Instant now) {
+        if (ended.failure().isPresent()) {
+            directory.find(ended.upstream()).ifPresent(upstream -> quarantine.onConnectionRefused(upstream, now));
+        }
+        paths.onConnectEnded(ended, now);
+    }
+
     private void onRecordWritten(ServingEvent.RecordWritten written, Instant now) {
         switch (written.feed()) {
             case MEMBERSHIP -> membership.onRecordWritten(written, now);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/quarantine/QuarantineTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/quarantine/QuarantineTest.java
@@ -145,6 +145,17 @@
         assertThat(decided()).containsExactly(Set.of(CRASHING));
     }
 
+    /** Guards against a crash between two events that passes for the end of an answer without a length or chunks. */
+    @Test
+    void answersThatEndWithTheirConnectionShowNothing() {
+        for (int crash = 0; crash < 3; crash++) {
+            quarantine.onConnectionClosed(newRun(), Set.of(CRASHING), now);
+            pass(Duration.ofSeconds(1));
+            crash(CRASHING);
+        }
+        assertThat(decided()).containsExactly(Set.of(CRASHING));
+    }
+
     /** Guards against broken answers of upstreams that have not ended. */
     @Test
     void upstreamsThatAnswerAgainHaveNotCrashed() {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -163,19 +163,23 @@
             }
             case WHOLE -> {
                 exchange.forward(new RoutedExchange.CompleteAnswer(status, head, buffered.toByteArray()));
-                yield new SendEnd.Passed();
+                yield new SendEnd.Passed(delimited(head));
             }
-            case STREAM -> endOfStream();
+            case STREAM -> endOfStream(head);
             case NOT_RUN, NOTHING -> new SendEnd.Broken("no answer", events.lastEventId());
         };
     }
 
-    private SendEnd endOfStream() {
+    private static boolean delimited(HttpFields head) {
+        return head.contains(HttpHeader.CONTENT_LENGTH) || head.contains(HttpHeader.TRANSFER_ENCODING);
+    }
+
+    private SendEnd endOfStream(HttpFields head) {
         if (!events.atBoundary()) {
             return new SendEnd.Broken("the stream ended in the middle of an event", events.lastEventId());
         }
         exchange.end();
-        return new SendEnd.Passed();
+        return new SendEnd.Passed(delimited(head));
     }
 
     private SendEnd failureEnd(Throwable cause) {
