--- a/wagtaillug-core/src/main/java/org/wagtaillug/admission/ConnectionAdmission.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/admission/ConnectionAdmission.java
@@ -41,7 +41,10 @@
     private static final double MIN_MAX_RATE = 20;
     private static final double DECREASE_FACTOR = 0.6;
     private static final double INCREASE_FACTOR = 1.05;
-    private static final double BURST_SECONDS = 0.2;
+    /** How many connections may come at once, as the time in which the rate allows them. */
+    private static final double BURST_SECONDS = 0.5;
+
+    private static final double DELAYED_BURST_SECONDS = 0.2;
 
     private Instant firstAt = Instant.MIN;
     private Instant adjustedAt = Instant.MIN;
@@ -101,7 +104,8 @@
         double rate = rate();
         if (!Double.isInfinite(rate)) {
             double added = rate * seconds(Duration.between(refilledAt, now));
-            tokens = Math.min(tokens + added, Math.max(1, rate * BURST_SECONDS));
+            double burst = rate * (limited() ? DELAYED_BURST_SECONDS : BURST_SECONDS);
+            tokens = Math.min(tokens + added, Math.max(1, burst));
         }
         refilledAt = now;
     }
