A quarantine decided on few reports does not hide the segment that explains more crashes

A node that had few of the reports, as others were killed or all had just started and no completion was known, blamed a sound segment that was present at three crashes. From then on the crashes at which it was present counted against nothing else, so the cause was found late or not at all. Each decision now explains all crashes anew, by the segments present at most of them first; existing quarantines explain nothing. Crashes that only an entry of several segments remembers, after all nodes were killed, count against each of them. Segments found sound are told to the other deciders, which otherwise decided on them again. The state is written to the store as soon as that answers: a decision made while it was away was lost when all nodes were killed a second after its return.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/CrashEvidence.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/CrashEvidence.java
@@ -137,38 +137,67 @@
     }
 
     /**
-     * The segments that were present at most crashes.
+     * Explains the crashes: the segments that were present at most of them, then those that were present at most of the
+     * others, and so on.
      *
-     * @param explaining prompts that are known to crash upstreams; crashes at which one of them was present count no more
      * @param completed when segments were completed, by any node as far as known
-     * @param completionMemory segments that were completed within this time before their first crash are left out
-     * @return empty if no crash is left
+     * @param earlier the number of earlier crashes that nobody knows in detail any more, by segment
+     * @param thresholds the number of crashes that make a suspect
      */
-    Optional<Suspect> strongest(
-            Collection<Set<SegmentId>> explaining,
-            CompletedSegments completed,
-            Duration completionMemory,
-            Instant now) {
-        Map<SegmentId, Set<Crash>> crashesOf = crashesOf(explaining, completed, now);
-        crashesOf.entrySet().removeIf(entry -> {
+    List<Suspect> explain(
+            CompletedSegments completed, Map<SegmentId, Integer> earlier, Thresholds thresholds, Instant now) {
+        List<Crash> unexplained = settled(now);
+        List<Suspect> suspects = new ArrayList<>();
+        while (true) {
+            Optional<Suspect> strongest = strongest(unexplained, completed, earlier, thresholds);
+            if (strongest.isEmpty()) {
+                return suspects;
+            }
+            suspects.add(strongest.get());
+            unexplained.removeIf(
+                    crash -> crash.segments().containsAll(strongest.get().segments()));
+        }
+    }
+
+    /**
+     * The number of crashes that make a suspect.
+     *
+     * @param crashes for segments of which no completion is known
+     * @param afterCompletion for segments that were completed within the completion memory before their first crash
+     * @param completionMemory how long completions count
+     */
+    record Thresholds(int crashes, int afterCompletion, Duration completionMemory) {}
+
+    private Optional<Suspect> strongest(
+            List<Crash> crashes, CompletedSegments completed, Map<SegmentId, Integer> earlier, Thresholds thresholds) {
+        Map<SegmentId, Set<Crash>> all = crashesOf(crashes, completed);
+        Map<SegmentId, Set<Crash>> neverCompleted = new LinkedHashMap<>(all);
+        neverCompleted.entrySet().removeIf(entry -> {
             Instant firstAt = ordered(entry.getValue()).getFirst().at();
-            return completed.completedAfter(entry.getKey(), firstAt.minus(completionMemory));
+            return completed.completedAfter(entry.getKey(), firstAt.minus(thresholds.completionMemory()));
         });
+        return strongest(neverCompleted, earlier, thresholds.crashes())
+                .or(() -> strongest(all, earlier, thresholds.afterCompletion()));
+    }
+
+    private static Optional<Suspect> strongest(
+            Map<SegmentId, Set<Crash>> crashesOf, Map<SegmentId, Integer> earlier, int threshold) {
         Set<Crash> most = Set.of();
         int count = 0;
-        for (Set<Crash> crashes : crashesOf.values()) {
-            int distinct = distinct(crashes);
-            if (distinct > count) {
-                most = crashes;
-                count = distinct;
+        for (Map.Entry<SegmentId, Set<Crash>> entry : crashesOf.entrySet()) {
+            int total = distinct(entry.getValue()) + earlier.getOrDefault(entry.getKey(), 0);
+            if (total > count) {
+                most = entry.getValue();
+                count = total;
             }
         }
-        if (count == 0) {
+        if (count < threshold) {
             return Optional.empty();
         }
         Set<SegmentId> together = new HashSet<>();
         for (Map.Entry<SegmentId, Set<Crash>> entry : crashesOf.entrySet()) {
-            if (entry.getValue().equals(most)) {
+            int total = distinct(entry.getValue()) + earlier.getOrDefault(entry.getKey(), 0);
+            if (total == count && entry.getValue().equals(most)) {
                 together.add(entry.getKey());
             }
         }
@@ -176,10 +205,9 @@
     }
 
     /** The crashes at which each segment was present without being completed since. */
-    private Map<SegmentId, Set<Crash>> crashesOf(
-            Collection<Set<SegmentId>> explaining, CompletedSegments completed, Instant now) {
+    private static Map<SegmentId, Set<Crash>> crashesOf(List<Crash> crashes, CompletedSegments completed) {
         Map<SegmentId, Set<Crash>> crashesOf = new LinkedHashMap<>();
-        for (Crash crash : unexplained(explaining, now)) {
+        for (Crash crash : crashes) {
             for (SegmentId segment : new TreeSet<>(incomplete(crash, completed))) {
                 crashesOf.computeIfAbsent(segment, any -> new HashSet<>()).add(crash);
             }
@@ -187,16 +215,18 @@
         return crashesOf;
     }
 
-    private List<Crash> unexplained(Collection<Set<SegmentId>> explaining, Instant now) {
-        Instant latest = now.minus(REPORT_DELAY);
-        List<Crash> unexplained = new ArrayList<>();
-        for (Crash crash : pooled().values()) {
-            boolean explained = explaining.stream().anyMatch(crash.segments()::containsAll);
-            if (!explained && !crash.at().isAfter(latest)) {
-                unexplained.add(crash);
-            }
-        }
-        return unexplained;
+    /** The number of crashes at which all of some segments were present without being completed since. */
+    int count(Set<SegmentId> segments, CompletedSegments completed, Instant now) {
+        List<Crash> crashes = settled(now);
+        crashes.removeIf(crash -> !incomplete(crash, completed).containsAll(segments));
+        return distinct(crashes);
+    }
+
+    /** The crashes of which all reports should have arrived. */
+    private List<Crash> settled(Instant now) {
+        List<Crash> settled = new ArrayList<>(pooled().values());
+        settled.removeIf(crash -> crash.at().isAfter(now.minus(REPORT_DELAY)));
+        return settled;
     }
 
     /** One crash for each run of an upstream, however many nodes have seen it. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -36,6 +37,9 @@
     /** A segment that was completed within this time before its first crash is unlikely to be the cause. */
     static final Duration COMPLETION_MEMORY = Duration.ofSeconds(30);
 
+    private static final CrashEvidence.Thresholds THRESHOLDS =
+            new CrashEvidence.Thresholds(CRASHES_TO_QUARANTINE, CRASHES_AFTER_COMPLETION, COMPLETION_MEMORY);
+
     static final Duration FIRST_TRIAL_AFTER = Duration.ofSeconds(8);
     private static final Duration NEXT_TRIAL_AFTER = Duration.ofMinutes(10);
     private static final Duration DURATION = Duration.ofHours(1);
@@ -116,19 +120,29 @@
     /** Lifts the quarantines whose segments were completed since their first crash. */
     private List<QuarantineEntry> liftCompleted(Instant now) {
         List<QuarantineEntry> lifted = new ArrayList<>();
-        for (State state : states.values()) {
+        for (State state : List.copyOf(states.values())) {
             List<SegmentId> sound = state.segments.stream()
                     .filter(segment -> completed.completedAfter(segment, state.firstCrashAt))
                     .toList();
             if (state.quarantined && !sound.isEmpty()) {
                 change(state, false, now);
-                completed.addDecision(sound, now);
                 lifted.add(state.entry(now));
+                sound.forEach(segment -> setSound(segment, state.firstCrashAt, now));
             }
         }
         return lifted;
     }
 
+    /** Records that a segment was found sound, also for other nodes. */
+    private void setSound(SegmentId segment, Instant firstCrashAt, Instant now) {
+        completed.addDecision(Set.of(segment), now);
+        State state = states.computeIfAbsent(Set.of(segment), State::new);
+        if (state.revision == 0) {
+            state.firstCrashAt = firstCrashAt;
+            change(state, false, now);
+        }
+    }
+
     private void change(State state, boolean quarantined, Instant now) {
         state.revision++;
         state.quarantined = quarantined;
@@ -179,35 +193,29 @@
         if (!evidence.any()) {
             return decided;
         }
-        Optional<CrashEvidence.Suspect> suspect = suspect(now);
-        while (suspect.isPresent() && decided.size() < MAX_ENTRIES) {
-            decided.add(quarantine(suspect.get(), now));
-            suspect = suspect(now);
+        // A quarantine that was decided on fewer reports must not hide the segments that explain more crashes.
+        for (CrashEvidence.Suspect suspect : evidence.explain(completed, earlierCrashes(now), THRESHOLDS, now)) {
+            State state = states.get(suspect.segments());
+            if (state == null || !state.quarantined) {
+                decided.add(quarantine(suspect, now));
+            }
         }
         return decided;
     }
 
-    /** The segments with the most evidence against them, if that suffices. */
-    private Optional<CrashEvidence.Suspect> suspect(Instant now) {
-        List<Set<SegmentId>> single = new ArrayList<>();
-        List<Set<SegmentId>> all = new ArrayList<>();
+    /** Crashes that count against each of several segments, and that only the entry of these segments remembers. */
+    private Map<SegmentId, Integer> earlierCrashes(Instant now) {
+        Map<SegmentId, Integer> earlier = new HashMap<>();
         for (State state : states.values()) {
-            if (state.quarantined) {
-                all.add(state.segments);
+            int forgotten = state.crashes - evidence.count(state.segments, completed, now);
+            if (state.segments.size() == 1 || !state.quarantined || forgotten <= 0) {
+                continue;
             }
-            if (state.quarantined && state.segments.size() == 1) {
-                single.add(state.segments);
+            for (SegmentId segment : state.segments) {
+                earlier.merge(segment, forgotten, Math::max);
             }
         }
-        // Of several segments, one may be the cause alone: further crashes show which.
-        return suspect(all, now).or(() -> suspect(single, now).filter(suspect -> !all.contains(suspect.segments())));
-    }
-
-    private Optional<CrashEvidence.Suspect> suspect(List<Set<SegmentId>> explaining, Instant now) {
-        return evidence.strongest(explaining, completed, COMPLETION_MEMORY, now)
-                .filter(suspect -> suspect.crashes() >= CRASHES_TO_QUARANTINE)
-                .or(() -> evidence.strongest(explaining, completed, Duration.ZERO, now)
-                        .filter(suspect -> suspect.crashes() >= CRASHES_AFTER_COMPLETION));
+        return earlier;
     }
 
     private QuarantineEntry quarantine(CrashEvidence.Suspect suspect, Instant now) {
@@ -271,7 +279,8 @@
     }
 
     private Optional<QuarantineEntry> merge(QuarantineEntry entry, boolean saved, Instant now) {
-        if (!entry.quarantined() && !states.containsKey(entry.segments())) {
+        boolean old = entry.age().compareTo(DURATION) > 0;
+        if (!entry.quarantined() && old && !states.containsKey(entry.segments())) {
             return Optional.empty();
         }
         State state = states.computeIfAbsent(entry.segments(), State::new);
@@ -291,7 +300,7 @@
         state.firstCrashAt = now.minus(entry.age());
         state.trialDue = now.plus(entry.trials() == 0 ? FIRST_TRIAL_AFTER : NEXT_TRIAL_AFTER);
         state.expiresAt = now.plus(DURATION);
-        if (changed && !entry.quarantined() && entry.segments().size() == 1) {
+        if (!entry.quarantined() && entry.segments().size() == 1) {
             completed.addDecision(entry.segments(), now);
         }
         dropOldest();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/QuarantineExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/QuarantineExchange.java
@@ -39,6 +39,8 @@
 
     private static final Duration READ_INTERVAL = Duration.ofSeconds(1);
 
+    private static final Duration WRITE_RETRY_INTERVAL = Duration.ofMillis(500);
+
     /** For this long after a crash, deciders read the store at short intervals. */
     private static final Duration READS_AFTER_CRASH = Duration.ofSeconds(15);
 
@@ -50,6 +52,7 @@
     private final Map<String, QuarantineEntry> writes = new HashMap<>();
     private final Map<String, Set<SegmentId>> recordKeys = new HashMap<>();
     private Instant readDue = Instant.EPOCH;
+    private Instant writeDue = Instant.EPOCH;
     private boolean reportDue;
     private boolean announcementDue;
     private boolean changed;
@@ -221,12 +224,8 @@
         return peers.holders(PeerMembership.QUARANTINE_DUTY, DECIDERS, acceptsWork.getAsBoolean(), now);
     }
 
-    /**
-     * Decides on new quarantines and writes what is due.
-     *
-     * @param feedRead whether this node has read the quarantine feed since it became a decider
-     */
-    void onTick(boolean feedRead, Instant now) {
+    /** Decides on new quarantines and writes what is due. */
+    void onTick(Instant now) {
         reportDue |= quarantine.confirmCompletions(now);
         onChanged(quarantine.expire(now), "expiry", now);
         if (!decides(now)) {
@@ -234,7 +233,7 @@
         }
         onChanged(quarantine.decide(now), "decision", now);
         VmId writer = peers.dutyHolder(PeerMembership.QUARANTINE_WRITER_DUTY, acceptsWork.getAsBoolean(), now);
-        if (feedRead && writer.equals(self)) {
+        if (writer.equals(self) && !now.isBefore(writeDue)) {
             write(now);
         }
     }
@@ -259,9 +258,11 @@
     }
 
     /** Processes the end of a write; an entry that was not written is written again. */
-    void onWritten(ServingEvent.RecordWritten written) {
+    void onWritten(ServingEvent.RecordWritten written, Instant now) {
         QuarantineEntry entry = writes.remove(written.key());
-        if (entry != null && written.done()) {
+        if (!written.done()) {
+            writeDue = now.plus(WRITE_RETRY_INTERVAL);
+        } else if (entry != null) {
             quarantine.onWritten(entry);
         }
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -171,7 +171,7 @@
         switch (written.feed()) {
             case MEMBERSHIP -> membership.onRecordWritten(written, now);
             case STREAMS -> streams.onWritten(written);
-            case QUARANTINE -> quarantine.onWritten(written);
+            case QUARANTINE -> quarantine.onWritten(written, now);
             case CONFIGURATION, DIRECTORY, ROLLOUTS -> {
                 // A rollout status that was not written is written again when it is due.
             }
@@ -207,7 +207,7 @@
         feeds.setReader(membership.readsStore(now));
         streams.onTick(feeds.fresh(FeedName.STREAMS, now), now);
         feeds.setActive(FeedName.STREAMS, streams.isReplica());
-        quarantine.onTick(feeds.fresh(FeedName.QUARANTINE, now), now);
+        quarantine.onTick(now);
         feeds.setActive(FeedName.QUARANTINE, quarantine.decides(now));
         if (quarantine.pollReadDue(now)) {
             feeds.request(FeedName.QUARANTINE, now);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptFleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.feed.DirectoryItem;
 import org.wagtaillug.feed.FeedName;
@@ -241,6 +242,11 @@
         }
     }
 
+    /** The first segments of sound prompts. */
+    List<String> firstSegments() {
+        return IntStream.range(0, HOUSES).mapToObj(number -> "house-" + number).toList();
+    }
+
     private String house() {
         return "house-" + random.nextInt(HOUSES);
     }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsTest.java
@@ -147,5 +147,10 @@
         CrashingPromptFleet.Tally later = fleet.sound(from, fleet.world.now);
         assertThat(later.requests()).as("sound requests later").isGreaterThan(20);
         assertThat(later.share()).as("share of sound requests that began").isGreaterThan(usual / 2);
+        for (String first : fleet.firstSegments()) {
+            assertThat(fleet.sound(first, from, fleet.world.now).share())
+                    .as("share of sound requests with the first segment %s that began", first)
+                    .isGreaterThan(usual / 2);
+        }
     }
 }
