--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/CrashEvidence.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/CrashEvidence.java
@@ -129,10 +129,14 @@
         return incomplete;
     }
 
-    /** All segments that were present at a crash. */
-    Set<SegmentId> segments() {
+    /** The segments that were present at crashes after a time. */
+    Set<SegmentId> segmentsSince(Instant time) {
         Set<SegmentId> segments = new HashSet<>();
-        crashesByNode.values().forEach(crashes -> crashes.forEach(crash -> segments.addAll(crash.segments())));
+        for (Crash crash : pooled().values()) {
+            if (crash.at().isAfter(time)) {
+                segments.addAll(crash.segments());
+            }
+        }
         return segments;
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +43,9 @@
     private static final Duration NEXT_TRIAL_AFTER = Duration.ofMinutes(10);
     private static final Duration DURATION = Duration.ofHours(1);
 
+    /** For this long after a crash, nodes report completions of the segments that were present. */
+    private static final Duration COMPLETION_REPORT_TIME = Duration.ofSeconds(30);
+
     private static final int MAX_ENTRIES = 64;
 
     private final CrashEvidence evidence;
@@ -238,7 +240,7 @@
     /** What this node knows, for other nodes. */
     public QuarantineReport report(Instant now) {
         List<QuarantineEntry> entries = new ArrayList<>();
-        Set<SegmentId> suspected = new HashSet<>(evidence.segments());
+        Set<SegmentId> suspected = evidence.segmentsSince(now.minus(COMPLETION_REPORT_TIME));
         for (State state : states.values()) {
             entries.add(state.entry(now));
             suspected.addAll(state.segments);
