Nodes with peers do not read the quarantine feed each second after a crash

Each of the three deciders read the store each second for 15 s after any crash, by arithmetic 45 calls; only a node without peers learns more by that. Refused connections no longer cause heartbeats unless they show a crash.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
@@ -32,7 +32,7 @@
     },
     /**
      * Which prompts are quarantined, written by one node; read by the few nodes that decide it, which tell the others, and more
-     * often while upstreams crash.
+     * often by nodes without peers while upstreams crash.
      */
     QUARANTINE(Duration.ZERO, Duration.ofSeconds(30)) {
         @Override
--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
@@ -87,12 +87,18 @@
         evidence.onCrash(run, present, now);
     }
 
-    /** Records that an upstream refuses connections, and so has crashed if it has answered just before. */
-    public void onConnectionRefused(UpstreamRun run, Instant now) {
+    /**
+     * Records that an upstream refuses connections, and so has crashed if it has answered just before.
+     *
+     * @return whether it has
+     */
+    public boolean onConnectionRefused(UpstreamRun run, Instant now) {
         Set<SegmentId> present = unconfirmed.remove(run);
-        if (!present.isEmpty()) {
-            evidence.onCrash(run, present, now);
+        if (present.isEmpty()) {
+            return false;
         }
+        evidence.onCrash(run, present, now);
+        return true;
     }
 
     /** Records that an upstream has answered an attempt, and so has not crashed before that was sent. */
@@ -142,6 +148,7 @@
         if (state.revision == 0) {
             state.firstCrashAt = firstCrashAt;
             change(state, false, now);
+            dropOldest();
         }
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/QuarantineEntry.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/QuarantineEntry.java
@@ -17,8 +17,12 @@
  */
 public record QuarantineEntry(
         Set<SegmentId> segments, int revision, boolean quarantined, int crashes, int trials, Duration age) {
-    /** Makes a defensive copy of the set. */
+    /** Validates the entry, as one without segments would concern all prompts. */
     public QuarantineEntry {
         segments = Set.copyOf(segments);
+        if (segments.isEmpty() || revision < 1) {
+            throw new IllegalArgumentException("found " + segments.size() + " segments and revision " + revision
+                    + "; expected one segment or more and revision 1 or higher");
+        }
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/QuarantineExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/QuarantineExchange.java
@@ -41,7 +41,7 @@
 
     private static final Duration WRITE_RETRY_INTERVAL = Duration.ofMillis(500);
 
-    /** For this long after a crash, deciders read the store at short intervals. */
+    /** For this long after a crash, a node without peers reads the store at short intervals. */
     private static final Duration READS_AFTER_CRASH = Duration.ofSeconds(15);
 
     private final VmId self;
@@ -132,8 +132,7 @@
 
     /** Records that an upstream refuses connections. */
     void onConnectionRefused(Upstream upstream, Instant now) {
-        quarantine.onConnectionRefused(run(upstream), now);
-        reportDue = true;
+        reportDue |= quarantine.onConnectionRefused(run(upstream), now);
     }
 
     /**
@@ -206,9 +205,10 @@
         return result;
     }
 
-    /** Whether the store must be read now, as nodes that this node does not hear may know more of recent crashes. */
+    /** Whether the store must be read now, as nodes that this node cannot hear may know more of recent crashes. */
     boolean pollReadDue(Instant now) {
-        if (now.isBefore(readDue) || !quarantine.crashedSince(now.minus(READS_AFTER_CRASH)) || !decides(now)) {
+        boolean alone = peers.upPeers(now).isEmpty();
+        if (!alone || now.isBefore(readDue) || !quarantine.crashedSince(now.minus(READS_AFTER_CRASH))) {
             return false;
         }
         readDue = now.plus(READ_INTERVAL);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/quarantine/QuarantineTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/quarantine/QuarantineTest.java
@@ -1,6 +1,7 @@
 package org.wagtaillug.quarantine;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -249,6 +250,14 @@
         assertThat(quarantine.unsaved(now)).isEmpty();
     }
 
+    /** Guards against an entry that would keep all prompts away from upstreams. */
+    @Test
+    void entriesWithoutSegmentsAreRejected() {
+        assertThatThrownBy(() -> new QuarantineEntry(Set.of(), 1, true, 3, 0, Duration.ZERO))
+                .hasMessage("found 0 segments and revision 1; expected one segment or more and revision 1 or higher");
+        assertThat(quarantine.find(Set.of(), now)).isEmpty();
+    }
+
     @Test
     void unreadableRecordsAreExplained() {
         List<String> errors = new ArrayList<>();
