--- a/wagtaillug-core/src/main/java/org/wagtaillug/retry/RetryBudget.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/retry/RetryBudget.java
@@ -51,6 +51,21 @@
         return true;
     }
 
+    /** What decides at a time whether a retry is available. */
+    public Usage usage(Instant now) {
+        expire(now);
+        return new Usage(requests.size(), retries.size(), sharingNodes.getAsInt());
+    }
+
+    /**
+     * The state of a budget.
+     *
+     * @param requests the requests in the window
+     * @param retries the retries in the window
+     * @param sharingNodes the nodes that share the fixed part
+     */
+    public record Usage(int requests, int retries, int sharingNodes) {}
+
     private void expire(Instant now) {
         Instant oldest = now.minus(window);
         while (!requests.isEmpty() && requests.peekFirst().isBefore(oldest)) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -10,6 +10,7 @@
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.result.ResultCode;
+import org.wagtaillug.retry.RetryBudget;
 import org.wagtaillug.routing.PrefixSegment;
 import org.wagtaillug.serving.ServingEffect.Outcome;
 import org.wagtaillug.stream.StreamOrigin;
@@ -88,6 +89,19 @@
         write(line("rebuild", flow));
     }
 
+    /** Logs whether a request may be sent to an upstream once more, with the state of its budget. */
+    void retry(Flow flow, RetryDecisions.Cause cause, boolean allowed, RetryBudget.Usage budget) {
+        write(line("retry", flow)
+                .field("pool", flow.pool())
+                .field("cause", cause)
+                .field("allowed", allowed)
+                .field("attempt", flow.attempts())
+                .field("executions", flow.executions())
+                .field("window_requests", budget.requests())
+                .field("window_retries", budget.retries())
+                .field("sharing_nodes", budget.sharingNodes()));
+    }
+
     void send(Flow flow, Upstream upstream, int inFlight, long keptTokens, Instant now) {
         Decision.Builder line = line("send", flow)
                 .field("attempt", flow.attempts())
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -108,7 +108,7 @@
         this.pathEstimate = new PathEstimate(times);
         this.steps = new FlowSteps(
                 directory, orders, times, (flow, now) -> selection.expectedDomain(flow, configuration, now), features);
-        this.retries = new RetryDecisions(setup.retryLimits(), roster, remainingTime, shutdown, quarantine);
+        this.retries = new RetryDecisions(setup.retryLimits(), roster, remainingTime, shutdown, quarantine, log);
         this.shutdown = shutdown;
         this.effects = effects;
         this.inputs = new InputRelease(steps, engineTimes, features, log);
@@ -500,7 +500,7 @@
 
     /** Retries a request of which no byte was sent, so that the retry counts as one for no upstream. */
     private void retryUnsent(Flow flow, Instant now) {
-        if (retries.attemptsLeft(flow)) {
+        if (retries.tryAfterNoSend(flow, now)) {
             send(flow, now);
             return;
         }
@@ -522,7 +522,7 @@
             return;
         }
         flow.recordExecution();
-        if (!retries.tryAfterExecution(flow, now)) {
+        if (!retries.tryAfterExecution(flow, RetryDecisions.Cause.FAILED, now)) {
             effects.accept(new ServingEffect.ForwardFailure(flow.request().id()));
             finish(flow, Outcome.FAILED, "upstream failure forwarded", now);
             return;
@@ -540,7 +540,7 @@
         }
         flow.recordCrash();
         quarantine.onBroken(flow.request(), upstream, now);
-        if (!retries.tryAfterExecution(flow, now)) {
+        if (!retries.tryAfterExecution(flow, RetryDecisions.Cause.BROKEN, now)) {
             fail(
                     flow,
                     ResultCode.OUTCOME_UNKNOWN,
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -15,11 +15,24 @@
     /** Upstreams that may crash under one request whose prompt may be the cause; fewer than lead to a quarantine. */
     private static final int MAX_CRASHES = 2;
 
+    /** How the attempt before a retry ended. */
+    enum Cause {
+        /** No byte reached the upstream. */
+        NOT_SENT,
+        /** The upstream did not execute the request. */
+        REJECTED,
+        /** The upstream executed the request and reported a failure. */
+        FAILED,
+        /** The answer ended before it was complete. */
+        BROKEN
+    }
+
     private final ServingSetup.RetryLimits limits;
     private final Roster roster;
     private final RemainingTimeEstimate remainingTime;
     private final Shutdown shutdown;
     private final QuarantineExchange quarantine;
+    private final FlowLog log;
     private final Map<PoolId, RetryBudget> budgets = new HashMap<>();
 
     RetryDecisions(
@@ -27,12 +40,14 @@
             Roster roster,
             RemainingTimeEstimate remainingTime,
             Shutdown shutdown,
-            QuarantineExchange quarantine) {
+            QuarantineExchange quarantine,
+            FlowLog log) {
         this.limits = limits;
         this.roster = roster;
         this.remainingTime = remainingTime;
         this.shutdown = shutdown;
         this.quarantine = quarantine;
+        this.log = log;
     }
 
     private RetryBudget budget(PoolId pool) {
@@ -46,23 +61,33 @@
     }
 
     /** Whether a request of which no upstream received anything may be sent once more. */
-    boolean attemptsLeft(Flow flow) {
-        return flow.attempts() < MAX_ATTEMPTS;
+    boolean tryAfterNoSend(Flow flow, Instant now) {
+        return logged(flow, Cause.NOT_SENT, attemptsLeft(flow), now);
     }
 
     /** Whether a request that was not executed can be retried; takes a retry from the budget if so. */
     boolean tryAfterRejection(Flow flow, Instant now) {
-        return attemptsLeft(flow) && budget(flow.pool()).tryAcquire(now);
+        boolean allowed = attemptsLeft(flow) && budget(flow.pool()).tryAcquire(now);
+        return logged(flow, Cause.REJECTED, allowed, now);
     }
 
     /** Whether a request that may have been executed can be retried; takes a retry from the budget if so. */
-    boolean tryAfterExecution(Flow flow, Instant now) {
+    boolean tryAfterExecution(Flow flow, Cause cause, Instant now) {
         boolean allowed = flow.route().repeatable()
                 && !mayCrashAnother(flow, now)
                 && flow.executions() < flow.route().attempts()
                 && now.isBefore(flow.deadline())
                 && shutdown.hasTimeFor(remainingTime.fromSending(flow, now), now);
-        return allowed && budget(flow.pool()).tryAcquire(now);
+        return logged(flow, cause, allowed && budget(flow.pool()).tryAcquire(now), now);
+    }
+
+    private boolean attemptsLeft(Flow flow) {
+        return flow.attempts() < MAX_ATTEMPTS;
+    }
+
+    private boolean logged(Flow flow, Cause cause, boolean allowed, Instant now) {
+        log.retry(flow, cause, allowed, budget(flow.pool()).usage(now));
+        return allowed;
     }
 
     private boolean mayCrashAnother(Flow flow, Instant now) {
