Failing tests: retries beyond the bound for all nodes while nodes restart

RetryArrivals counts arrivals at engines from outside, by the rule as it is written. The fleet of engines is named for what it plays now.

--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsRandomTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsRandomTest.java
@@ -46,7 +46,7 @@
     private void play(long seed) {
         Random random = new Random(seed);
         int nodes = 3 + random.nextInt(12);
-        CrashingPromptFleet fleet = new CrashingPromptFleet(nodes, 6 + random.nextInt(12), seed);
+        EngineFleet fleet = new EngineFleet(nodes, 6 + random.nextInt(12), seed);
         fleet.crashingSegment = Optional.of("crashing");
         fleet.crashingSegmentFirst = random.nextBoolean();
         fleet.run(CALM, SOUND_PER_SECOND, 0);
@@ -64,14 +64,14 @@
                 .as(
                         "sends too long after the fifth of %s crashes",
                         fleet.crashes().size())
-                .hasSizeLessThanOrEqualTo(CrashingPromptFleet.ALLOWED_SENDS);
+                .hasSizeLessThanOrEqualTo(EngineFleet.ALLOWED_SENDS);
         double usual = fleet.sound(ServingWorld.START, from).share();
         assertThat(fleet.sound(calmAgain, fleet.world.now).share())
                 .as("share of sound requests that began")
                 .isGreaterThan(usual / 2);
     }
 
-    private void inject(CrashingPromptFleet fleet, int nodes, Random random) {
+    private void inject(EngineFleet fleet, int nodes, Random random) {
         VmId node = fleet.node(1 + random.nextInt(nodes));
         switch (random.nextInt(9)) {
             case 0, 1 -> {
@@ -114,12 +114,12 @@
         }
     }
 
-    private void restartKilled(CrashingPromptFleet fleet) {
+    private void restartKilled(EngineFleet fleet) {
         killed.forEach(fleet::restart);
         killed.clear();
     }
 
-    private void endFaults(CrashingPromptFleet fleet) {
+    private void endFaults(EngineFleet fleet) {
         restartKilled(fleet);
         fleet.setStoreAway(false);
         isolated.ifPresent(node -> fleet.setIsolated(node, false));
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsTest.java
@@ -19,7 +19,7 @@
     @CsvSource({"3, 6, 3, 1", "9, 8, 4, 2", "9, 8, 0.5, 3", "77, 24, 8, 4", "95, 56, 15, 5"})
     void promptsThatCrashEnginesAreStopped(int nodes, int engines, double crashingPerSecond, long seed) {
         for (boolean first : new boolean[] {false, true}) {
-            CrashingPromptFleet fleet = start(nodes, engines, seed);
+            EngineFleet fleet = start(nodes, engines, seed);
             fleet.crashingSegmentFirst = first;
             fleet.run(Duration.ofSeconds(30), 20, crashingPerSecond);
             verify(fleet);
@@ -30,7 +30,7 @@
     @ParameterizedTest
     @CsvSource({"9, 2", "77, 3"})
     void promptsStayStoppedWhenNodesAreRestartedInSeries(int nodes, long seed) {
-        CrashingPromptFleet fleet = start(nodes, 8, seed);
+        EngineFleet fleet = start(nodes, 8, seed);
         fleet.run(Duration.ofSeconds(5), 20, 4);
         for (int number = 1; number <= Math.min(nodes, 12); number++) {
             fleet.kill(fleet.node(number));
@@ -45,7 +45,7 @@
     @ParameterizedTest
     @CsvSource({"9, 5, 1", "9, 9, 2", "30, 30, 3", "95, 48, 4"})
     void promptsStayStoppedWhenManyNodesAreKilledTogether(int nodes, int killed, long seed) {
-        CrashingPromptFleet fleet = start(nodes, 8, seed);
+        EngineFleet fleet = start(nodes, 8, seed);
         for (int round = 0; round < 2; round++) {
             fleet.run(Duration.ofSeconds(6), 20, 4);
             for (int number = 1; number <= killed; number++) {
@@ -64,7 +64,7 @@
     @ParameterizedTest
     @CsvSource({"9, 1", "77, 2"})
     void promptsAreStoppedWhileTheStoreIsAway(int nodes, long seed) {
-        CrashingPromptFleet fleet = start(nodes, 8, seed);
+        EngineFleet fleet = start(nodes, 8, seed);
         fleet.setStoreAway(true);
         fleet.run(Duration.ofSeconds(15), 20, 4);
         fleet.setStoreAway(false);
@@ -76,7 +76,7 @@
     @ParameterizedTest
     @CsvSource({"9, 1, 1", "9, 2, 2", "30, 3, 3"})
     void promptsAreStoppedAtNodesThatReachOnlyTheStore(int nodes, int isolated, long seed) {
-        CrashingPromptFleet fleet = start(nodes, 8, seed);
+        EngineFleet fleet = start(nodes, 8, seed);
         for (int number = 1; number <= isolated; number++) {
             fleet.setIsolated(fleet.node(number), true);
         }
@@ -89,7 +89,7 @@
     @ParameterizedTest
     @CsvSource({"3, 6, 3, 1", "9, 8, 4, 2", "77, 24, 8, 4"})
     void promptsAreStoppedWhereCrashesLookLikeEnds(int nodes, int engines, double crashingPerSecond, long seed) {
-        CrashingPromptFleet fleet = start(nodes, engines, seed);
+        EngineFleet fleet = start(nodes, engines, seed);
         fleet.crashesLookLikeEnds = true;
         fleet.run(Duration.ofSeconds(30), 20, crashingPerSecond);
         verify(fleet);
@@ -99,7 +99,7 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void soundPromptsAreServedWhileEnginesEndForOtherReasons(long seed) {
-        CrashingPromptFleet fleet = new CrashingPromptFleet(9, 8, seed);
+        EngineFleet fleet = new EngineFleet(9, 8, seed);
         fleet.probesFindEnds = false;
         assertThat(shareAfterStorm(fleet)).as("share that began later").isGreaterThan(0.95);
     }
@@ -108,12 +108,12 @@
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4})
     void soundPromptsAreServedWhileProbesFindThatEnginesHaveEnded(long seed) {
-        CrashingPromptFleet fleet = new CrashingPromptFleet(9, 8, seed);
+        EngineFleet fleet = new EngineFleet(9, 8, seed);
         assertThat(shareAfterStorm(fleet)).as("share that began later").isGreaterThan(0.5);
     }
 
     /** Ends engines of a fleet again and again; returns the share of later requests that began at the first try. */
-    private static double shareAfterStorm(CrashingPromptFleet fleet) {
+    private static double shareAfterStorm(EngineFleet fleet) {
         fleet.run(CALM, 20, 0);
         Instant from = fleet.world.now;
         double usual = fleet.sound(ServingWorld.START, from).share();
@@ -127,14 +127,14 @@
         return fleet.sound(until, fleet.world.now).share();
     }
 
-    private static CrashingPromptFleet start(int nodes, int engines, long seed) {
-        CrashingPromptFleet fleet = new CrashingPromptFleet(nodes, engines, seed);
+    private static EngineFleet start(int nodes, int engines, long seed) {
+        EngineFleet fleet = new EngineFleet(nodes, engines, seed);
         fleet.crashingSegment = Optional.of(SEGMENT);
         fleet.run(CALM, 20, 0);
         return fleet;
     }
 
-    private static void verify(CrashingPromptFleet fleet) {
+    private static void verify(EngineFleet fleet) {
         Instant calmFrom = ServingWorld.START;
         double usual = fleet.sound(calmFrom, fleet.crashes().getFirst().minusSeconds(1))
                 .share();
@@ -142,9 +142,9 @@
                 .as(
                         "sends too long after the fifth of %s crashes",
                         fleet.crashes().size())
-                .hasSizeLessThanOrEqualTo(CrashingPromptFleet.ALLOWED_SENDS);
-        Instant from = fleet.lastCountedCrash().plus(CrashingPromptFleet.CONTACT.multipliedBy(2));
-        CrashingPromptFleet.Tally later = fleet.sound(from, fleet.world.now);
+                .hasSizeLessThanOrEqualTo(EngineFleet.ALLOWED_SENDS);
+        Instant from = fleet.lastCountedCrash().plus(EngineFleet.CONTACT.multipliedBy(2));
+        EngineFleet.Tally later = fleet.sound(from, fleet.world.now);
         assertThat(later.requests()).as("sound requests later").isGreaterThan(20);
         assertThat(later.share()).as("share of sound requests that began").isGreaterThan(usual / 2);
         for (String first : fleet.firstSegments()) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/EngineFleet.java
@@ -16,10 +16,11 @@
 import org.wagtaillug.id.VmId;
 
 /**
- * Plays requests with prompts at a fleet whose engines end when they answer a prompt with a given segment, and counts from
- * outside what engines received and what callers got. Shares no code with the decisions of the nodes.
+ * Plays requests with prompts at a fleet whose engines reject requests, end together, or end when they answer a prompt with a
+ * given segment, and counts from outside what engines received and what callers got. Shares no code with the decisions of the
+ * nodes.
  */
-final class CrashingPromptFleet {
+final class EngineFleet {
     /** How long after the fifth crash nodes may take to stop sending such requests. */
     static final Duration CONTACT = Duration.ofSeconds(3);
 
@@ -67,6 +68,12 @@
     /** Whether the crashing segment is the first one of its prompts; otherwise it follows the one of a house. */
     boolean crashingSegmentFirst;
 
+    /** What reaches the engines. */
+    final RetryArrivals arrivals = new RetryArrivals();
+
+    /** The share of requests that engines reject as not executed. */
+    double rejectedShare;
+
     private static final class Engine {
         private final VmId id;
         private boolean running = true;
@@ -130,7 +137,7 @@
         }
     }
 
-    CrashingPromptFleet(int nodes, int engineCount, long seed) {
+    EngineFleet(int nodes, int engineCount, long seed) {
         this.nodes = nodes;
         random = new Random(seed);
         world = new ServingWorld(nodes);
@@ -298,6 +305,7 @@
     }
 
     private void send(Caller caller) {
+        arrivals.onRequest(world.now);
         if (world.failed.size() == nodes) {
             return;
         }
@@ -358,6 +366,11 @@
             end(node, order, new SendEnd.Unsent("connection refused"));
             return;
         }
+        arrivals.onArrival(order.request(), world.now);
+        if (rejectedShare > 0 && random.nextDouble() < rejectedShare) {
+            end(node, order, new SendEnd.NotRun(503));
+            return;
+        }
         if (!tries.get(order.request()).sound) {
             crashingSends.add(new Delivery(world.now, node, inTouch(node)));
         }
--- /dev/null
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
@@ -0,0 +1,79 @@
+package org.wagtaillug.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Retries that reach engines from all nodes together, while engines fail and nodes are restarted. */
+class RetryStormTest {
+    private static final Duration CALM = Duration.ofSeconds(12);
+    private static final double SOUND_PER_SECOND = 60;
+
+    /** Guards against nodes that spend their whole budget for retries again after each restart. */
+    @ParameterizedTest
+    @CsvSource({"3, 1", "9, 1", "9, 3", "77, 1", "95, 4"})
+    void retriesStayBoundedWhenAllNodesRestartWhileEnginesRejectRequests(int nodes, int restarts) {
+        EngineFleet fleet = start(nodes);
+        fleet.rejectedShare = 0.8;
+        fleet.run(Duration.ofSeconds(4), SOUND_PER_SECOND, 0);
+        for (int restart = 0; restart < restarts; restart++) {
+            restartAll(fleet, nodes);
+            fleet.run(Duration.ofSeconds(3), SOUND_PER_SECOND, 0);
+        }
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        assertThat(fleet.arrivals.excesses()).isEmpty();
+    }
+
+    /** Guards against nodes that resume all interrupted streams again after each restart, while engines end together. */
+    @ParameterizedTest
+    @CsvSource({"9", "77"})
+    void retriesStayBoundedWhenEnginesEndBesideRestartsOfAllNodes(int nodes) {
+        EngineFleet fleet = start(nodes);
+        for (int restart = 0; restart < 3; restart++) {
+            for (int wave = 0; wave < 3; wave++) {
+                fleet.crashEngines(12);
+                fleet.run(Duration.ofMillis(1200), SOUND_PER_SECOND, 0);
+            }
+            restartAll(fleet, nodes);
+        }
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        assertThat(fleet.arrivals.excesses()).isEmpty();
+    }
+
+    /** Guards against retries beyond the bound while prompts crash engines, the store is away and nodes restart in turn. */
+    @ParameterizedTest
+    @CsvSource({"9", "77"})
+    void retriesStayBoundedWhilePromptsCrashEnginesAndNodesRestartInTurn(int nodes) {
+        EngineFleet fleet = start(nodes);
+        fleet.crashingSegment = Optional.of("crashing");
+        fleet.rejectedShare = 0.4;
+        fleet.setStoreAway(true);
+        for (int number = 1; number <= nodes; number++) {
+            fleet.kill(fleet.node(number));
+            fleet.run(Duration.ofMillis(9000 / nodes), SOUND_PER_SECOND, 6);
+            fleet.restart(fleet.node(number));
+        }
+        fleet.setStoreAway(false);
+        fleet.run(CALM, SOUND_PER_SECOND, 6);
+        assertThat(fleet.arrivals.excesses()).isEmpty();
+    }
+
+    private static EngineFleet start(int nodes) {
+        EngineFleet fleet = new EngineFleet(nodes, 24, nodes);
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        return fleet;
+    }
+
+    private static void restartAll(EngineFleet fleet, int nodes) {
+        for (int number = 1; number <= nodes; number++) {
+            fleet.kill(fleet.node(number));
+        }
+        fleet.run(Duration.ofMillis(500), SOUND_PER_SECOND, 0);
+        for (int number = 1; number <= nodes; number++) {
+            fleet.restart(fleet.node(number));
+        }
+    }
+}
