A restarted node does not spend again the retries that its earlier run has spent

What callers' servers saw: more arrivals beyond the first of each request than all nodes together may send, after a restart of all nodes beside engines that reject requests.

Cause: RetryBudget is a limit per window for a node, but was kept per process. A new run had the fixed part again and knew nothing of the retries that an earlier run had paid with the requests of the ten seconds before it.

Change: a run spends nothing until what an earlier one may have spent is older than the window, and nothing once it shuts down, as its successor may run beside it. It must have read that it is a member, as its share is derived from the roster. Nothing changes for a node that is up.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -108,7 +108,7 @@
         this.pathEstimate = new PathEstimate(times);
         this.steps = new FlowSteps(
                 directory, orders, times, (flow, now) -> selection.expectedDomain(flow, configuration, now), features);
-        this.retries = new RetryDecisions(setup.retryLimits(), roster, remainingTime, shutdown, quarantine, log);
+        this.retries = new RetryDecisions(setup, roster, remainingTime, shutdown, quarantine, log);
         this.shutdown = shutdown;
         this.effects = effects;
         this.inputs = new InputRelease(steps, engineTimes, features, log);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -27,6 +27,7 @@
         BROKEN
     }
 
+    private final Instant startedAt;
     private final ServingSetup.RetryLimits limits;
     private final Roster roster;
     private final RemainingTimeEstimate remainingTime;
@@ -36,13 +37,14 @@
     private final Map<PoolId, RetryBudget> budgets = new HashMap<>();
 
     RetryDecisions(
-            ServingSetup.RetryLimits limits,
+            ServingSetup setup,
             Roster roster,
             RemainingTimeEstimate remainingTime,
             Shutdown shutdown,
             QuarantineExchange quarantine,
             FlowLog log) {
-        this.limits = limits;
+        this.startedAt = Instant.ofEpochMilli(setup.self().incarnation());
+        this.limits = setup.retryLimits();
         this.roster = roster;
         this.remainingTime = remainingTime;
         this.shutdown = shutdown;
@@ -51,8 +53,16 @@
     }
 
     private RetryBudget budget(PoolId pool) {
-        return budgets.computeIfAbsent(
-                pool, id -> new RetryBudget(limits.window(), limits.ratio(), limits.fixed(), roster::sharingNodes));
+        return budgets.computeIfAbsent(pool, id -> new RetryBudget(limits.window(), limits.ratio()));
+    }
+
+    /**
+     * What this node may spend. Nothing until what an earlier run may have spent is older than the window, and nothing at
+     * shutdown, as a later run may begin before this one ends.
+     */
+    private RetryBudget.Share share(Instant now) {
+        boolean open = roster.includesSelf() && !shutdown.started() && !now.isBefore(startedAt.plus(limits.window()));
+        return new RetryBudget.Share(limits.fixed() / roster.sharingNodes(), open);
     }
 
     /** Adds a request to those by which the budget of its pool is measured. */
@@ -67,7 +77,7 @@
 
     /** Whether a request that was not executed can be retried; takes a retry from the budget if so. */
     boolean tryAfterRejection(Flow flow, Instant now) {
-        boolean allowed = attemptsLeft(flow) && budget(flow.pool()).tryAcquire(now);
+        boolean allowed = attemptsLeft(flow) && budget(flow.pool()).tryAcquire(share(now), now);
         return logged(flow, Cause.REJECTED, allowed, now);
     }
 
@@ -78,7 +88,7 @@
                 && flow.executions() < flow.route().attempts()
                 && now.isBefore(flow.deadline())
                 && shutdown.hasTimeFor(remainingTime.fromSending(flow, now), now);
-        return logged(flow, cause, allowed && budget(flow.pool()).tryAcquire(now), now);
+        return logged(flow, cause, allowed && budget(flow.pool()).tryAcquire(share(now), now), now);
     }
 
     private boolean attemptsLeft(Flow flow) {
@@ -86,7 +96,7 @@
     }
 
     private boolean logged(Flow flow, Cause cause, boolean allowed, Instant now) {
-        log.retry(flow, cause, allowed, budget(flow.pool()).usage(now));
+        log.retry(flow, cause, allowed, budget(flow.pool()).usage(share(now), now));
         return allowed;
     }
 
