A request whose inputs are gone is sent again within the budget for retries only

What servers saw: each request that an engine had answered with 409, as an input was gone, arrived there again after its steps were repeated. The budget knew nothing of it.

Cause: the budget was taken at two of the places from which a request goes out again, after a rejection and after an execution; the repetition of steps was a third one. Each attempt after one that may have arrived must now have a retry from the budget: RequestFlows.send is the only gate. The retry is taken before the steps are repeated, so that no work is done for a request that is not sent.

Looked at and found right: requests of which nothing was sent, directly or through a peer, are no retries and take none.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -51,6 +51,8 @@
     private boolean readingPrompt;
     private boolean answerStarted;
     private boolean mayHaveRun;
+    private boolean arrived;
+    private boolean retryGranted;
 
     /**
      * The step that took longest, for the log.
@@ -422,6 +424,23 @@
         return wasReading;
     }
 
+    /** Records how an attempt ended; once one may have reached its upstream, the next one is a retry. */
+    void recordEnd(SendEnd end) {
+        boolean unsent = end instanceof SendEnd.Unsent || end instanceof SendEnd.NoPath;
+        arrived |= !unsent;
+        retryGranted &= unsent;
+    }
+
+    /** Whether the next attempt is a retry that has not been taken from a budget. */
+    boolean needsRetry() {
+        return arrived && !retryGranted;
+    }
+
+    /** Records that the next attempt has been taken from a budget. */
+    void grantRetry() {
+        retryGranted = true;
+    }
+
     void clearTarget(Instant now) {
         target = Optional.empty();
         untargetedSince = now;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -367,6 +367,10 @@
     }
 
     private void send(Flow flow, AttemptSelection.Selection.Selected selected, Instant now) {
+        if (flow.needsRetry() && !retries.tryAfterRejection(flow, RetryDecisions.Cause.REJECTED, now)) {
+            fail(flow, ResultCode.UPSTREAM_FULL, "the limit on retries is reached", now);
+            return;
+        }
         Upstream upstream = selected.upstream();
         UpstreamChooser.Prompt prompt = selected.prompt();
         lastAttempt++;
@@ -450,6 +454,7 @@
             addSample(flow, true, now);
         }
         flow.clearTarget(now);
+        flow.recordEnd(end);
         outcomes.record(flow, upstream, ended, now);
         log.end(flow, upstream, ended, health.inFlight(upstream.id()), Duration.between(flow.sentAt(), now));
         boolean successful = end instanceof SendEnd.Passed;
@@ -463,9 +468,9 @@
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
             case SendEnd.Unsent ignored -> {
                 quarantine.onConnectionRefused(upstream, now);
-                retryUnsent(flow, now);
+                sendOrFail(flow, retries.tryAfterNoSend(flow, now), "was reached", now);
             }
-            case SendEnd.NoPath ignored -> retryUnsent(flow, now);
+            case SendEnd.NoPath ignored -> sendOrFail(flow, retries.tryAfterNoSend(flow, now), "was reached", now);
             case SendEnd.NotRun notRun -> {
                 if (notRun.status() == STATUS_UNAVAILABLE) {
                     notices.onRejected(upstream.listing(), now);
@@ -490,30 +495,25 @@
     }
 
     private void onNotRun(Flow flow, int status, Instant now) {
-        if (status == STATUS_INPUTS_GONE && !flow.steps().isEmpty()) {
-            inputs.onInputMissing(flow);
-            restartSteps(flow, DEFAULT_RETRY_AFTER, now);
+        if (status != STATUS_INPUTS_GONE || flow.steps().isEmpty()) {
+            boolean allowed = retries.tryAfterRejection(flow, RetryDecisions.Cause.REJECTED, now);
+            sendOrFail(flow, allowed, "accepted the request", now);
             return;
         }
-        retryElsewhere(flow, now);
-    }
-
-    /** Retries a request of which no byte was sent, so that the retry counts as one for no upstream. */
-    private void retryUnsent(Flow flow, Instant now) {
-        if (retries.tryAfterNoSend(flow, now)) {
-            send(flow, now);
+        inputs.onInputMissing(flow);
+        if (!retries.tryAfterRejection(flow, RetryDecisions.Cause.INPUTS_GONE, now)) {
+            fail(flow, ResultCode.STEP_FAILED, "step results were lost; the limit on retries is reached", now);
             return;
         }
-        fail(flow, ResultCode.UPSTREAM_FULL, "no upstream of pool \"" + flow.pool() + "\" was reached", now);
+        restartSteps(flow, DEFAULT_RETRY_AFTER, now);
     }
 
-    /** Retries a request that was not executed at another upstream. */
-    private void retryElsewhere(Flow flow, Instant now) {
-        if (retries.tryAfterRejection(flow, now)) {
+    private void sendOrFail(Flow flow, boolean allowed, String notDone, Instant now) {
+        if (allowed) {
             send(flow, now);
             return;
         }
-        fail(flow, ResultCode.UPSTREAM_FULL, "no upstream of pool \"" + flow.pool() + "\" accepted the request", now);
+        fail(flow, ResultCode.UPSTREAM_FULL, "no upstream of pool \"" + flow.pool() + "\" " + notDone, now);
     }
 
     private void onFailed(Flow flow, Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -21,6 +21,8 @@
         NOT_SENT,
         /** The upstream did not execute the request. */
         REJECTED,
+        /** The upstream did not execute the request, as an input is gone. */
+        INPUTS_GONE,
         /** The upstream executed the request and reported a failure. */
         FAILED,
         /** The answer ended before it was complete. */
@@ -76,19 +78,26 @@
     }
 
     /** Whether a request that was not executed can be retried; takes a retry from the budget if so. */
-    boolean tryAfterRejection(Flow flow, Instant now) {
-        boolean allowed = attemptsLeft(flow) && budget(flow.pool()).tryAcquire(share(now), now);
-        return logged(flow, Cause.REJECTED, allowed, now);
+    boolean tryAfterRejection(Flow flow, Cause cause, Instant now) {
+        return tryAcquire(flow, cause, attemptsLeft(flow), now);
     }
 
     /** Whether a request that may have been executed can be retried; takes a retry from the budget if so. */
     boolean tryAfterExecution(Flow flow, Cause cause, Instant now) {
-        boolean allowed = flow.route().repeatable()
+        boolean permitted = flow.route().repeatable()
                 && !mayCrashAnother(flow, now)
                 && flow.executions() < flow.route().attempts()
                 && now.isBefore(flow.deadline())
                 && shutdown.hasTimeFor(remainingTime.fromSending(flow, now), now);
-        return logged(flow, cause, allowed && budget(flow.pool()).tryAcquire(share(now), now), now);
+        return tryAcquire(flow, cause, permitted, now);
+    }
+
+    private boolean tryAcquire(Flow flow, Cause cause, boolean permitted, Instant now) {
+        boolean allowed = permitted && budget(flow.pool()).tryAcquire(share(now), now);
+        if (allowed) {
+            flow.grantRetry();
+        }
+        return logged(flow, cause, allowed, now);
     }
 
     private boolean attemptsLeft(Flow flow) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryArrivals.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryArrivals.java
@@ -3,9 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import org.wagtaillug.id.RequestId;
 
 /**
@@ -19,7 +19,7 @@
 
     private final List<Instant> requests = new ArrayList<>();
     private final List<Instant> retries = new ArrayList<>();
-    private final Set<RequestId> arrived = new HashSet<>();
+    private final Map<RequestId, Integer> arrived = new HashMap<>();
 
     /** Records a request that a caller has sent, whether it reaches a node or not. */
     void onRequest(Instant now) {
@@ -28,11 +28,16 @@
 
     /** Records a request that has reached an upstream, which may reject it. */
     void onArrival(RequestId request, Instant now) {
-        if (!arrived.add(request)) {
+        if (arrived.merge(request, 1, Integer::sum) > 1) {
             retries.add(now);
         }
     }
 
+    /** How often a request has arrived. */
+    int of(RequestId request) {
+        return arrived.getOrDefault(request, 0);
+    }
+
     /** The number of arrivals beyond the first of each request. */
     int retries() {
         return retries.size();
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
@@ -3,9 +3,15 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtaillug.id.RequestId;
 
 /** Retries that reach engines from all nodes together, while engines fail and nodes are restarted. */
 class RetryStormTest {
@@ -61,6 +67,38 @@
         assertThat(fleet.arrivals.excesses()).isEmpty();
     }
 
+    /** Guards against requests that are sent again outside the budget after an engine has not found their inputs. */
+    @Test
+    void retriesStayBoundedWhenInputsOfRequestsAreGone() {
+        int nodes = 3;
+        ServingWorld world = new ServingWorld(nodes);
+        world.startServing();
+        RetryArrivals arrivals = new RetryArrivals();
+        Map<Integer, List<RequestId>> open = new HashMap<>();
+        for (int round = 0; round < 80; round++) {
+            for (int node = 1; node <= nodes; node++) {
+                List<RequestId> ofNode = open.computeIfAbsent(node, number -> new ArrayList<>());
+                ofNode.add(world.request(node, "draft", 1));
+                arrivals.onRequest(world.now);
+                rejectArrived(world, node, ofNode, arrivals);
+            }
+            world.run(Duration.ofMillis(100));
+        }
+        assertThat(arrivals.retries()).isPositive();
+        assertThat(arrivals.excesses()).isEmpty();
+    }
+
+    /** Answers each attempt of a node's requests that has not been answered: an input is gone. */
+    private static void rejectArrived(ServingWorld world, int node, List<RequestId> requests, RetryArrivals arrivals) {
+        for (RequestId request : requests) {
+            int answered = arrivals.of(request);
+            if (world.sends(request).size() > answered) {
+                arrivals.onArrival(request, world.now);
+                world.endAttempt(node, request, new SendEnd.NotRun(409));
+            }
+        }
+    }
+
     private static EngineFleet start(int nodes) {
         EngineFleet fleet = new EngineFleet(nodes, 24, nodes);
         fleet.run(CALM, SOUND_PER_SECOND, 0);
