--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Roster.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Roster.java
@@ -114,11 +114,6 @@
         return members.size() <= senders || rank(upstream) < senders;
     }
 
-    /** Whether this node is registered and has read that. */
-    public boolean includesSelf() {
-        return members.containsKey(self);
-    }
-
     /** The rank of this node for an upstream: the number of members before it. */
     public int rank(VmId upstream) {
         return ranks.computeIfAbsent(upstream, this::rankFor);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -63,7 +63,7 @@
      * shutdown, as a later run may begin before this one ends.
      */
     private RetryBudget.Share share(Instant now) {
-        boolean open = roster.includesSelf() && !shutdown.started() && !now.isBefore(startedAt.plus(limits.window()));
+        boolean open = !shutdown.started() && !now.isBefore(startedAt.plus(limits.window()));
         return new RetryBudget.Share(limits.fixed() / roster.sharingNodes(), open);
     }
 
