--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsRandomTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsRandomTest.java
@@ -38,7 +38,7 @@
 
     /** Guards against crashes whose reports are lost with their nodes, and segments that are present at each crash. */
     @ParameterizedTest
-    @ValueSource(longs = {61, 284, 288})
+    @ValueSource(longs = {61, 135, 139, 284, 288})
     void promptsAreStoppedThoughReportsAreLostOrCannotTellSegmentsApart(long seed) {
         play(seed);
     }
