A quarter of the fixed retries is left for load that moves between nodes

Suspected cause, not traced: each node keeps to its own windows, and the busiest windows of nodes between which load moves, as while some are killed, add up to more than any window of the fleet. Fewer than twelve nodes leave part of the fixed retries unused, larger fleets left nothing.

Change: the fixed part is divided by four thirds of the members where that is more than twelve. CrashingPromptsTest passes as before. Nine tenths of the ratio was tried in its place: two of its cases failed.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -29,6 +29,12 @@
         BROKEN
     }
 
+    /**
+     * Shares of the fixed part for each member, of which one is used. Load moves between nodes, and their busiest windows add up to more
+     * than any window of all nodes.
+     */
+    private static final double SHARES_PER_MEMBER = 4.0 / 3;
+
     private final Instant startedAt;
     private final ServingSetup.RetryLimits limits;
     private final Roster roster;
@@ -64,7 +70,8 @@
      */
     private RetryBudget.Share share(Instant now) {
         boolean open = !shutdown.started() && !now.isBefore(startedAt.plus(limits.window()));
-        return new RetryBudget.Share(limits.fixed() / roster.sharingNodes(), open);
+        double shares = Math.max(roster.sharingNodes(), SHARES_PER_MEMBER * roster.size());
+        return new RetryBudget.Share(limits.fixed() / shares, open);
     }
 
     /** Adds a request to those by which the budget of its pool is measured. */
