--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.wagtaillug.batch.CallGate;
+import org.wagtaillug.clock.WallClock;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.feed.ConfigurationItem;
@@ -56,6 +57,7 @@
     private final List<ServingEffect> effects = new ArrayList<>();
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamHealth health = new UpstreamHealth();
+    private final WallClock wallClock = new WallClock();
     private final Peers peers;
     private final PeerMembership membership;
     private final FeedExchange feeds;
@@ -143,6 +145,7 @@
             }
             case ServingEvent.RecordWritten written -> onRecordWritten(written, now);
             case ServingEvent.DrainStarted started -> onDrainStarted(started.requestedAt(), now);
+            case ServingEvent.WallClockSet set -> onWallClockSet(set.offset());
             case ServingEvent.PortsClosing ignored -> shutdown.closePorts();
         }
         if (paths.pollChanged(now)) {
@@ -167,6 +170,11 @@
         paths.onConnectEnded(ended, now);
     }
 
+    private void onWallClockSet(Duration offset) {
+        Duration change = wallClock.set(offset);
+        log(Decision.builder("wall_clock").field("offset_ms", offset.toMillis()).field("change_ms", change.toMillis()));
+    }
+
     private void onRecordWritten(ServingEvent.RecordWritten written, Instant now) {
         switch (written.feed()) {
             case MEMBERSHIP -> membership.onRecordWritten(written, now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEvent.java
@@ -1,5 +1,6 @@
 package org.wagtaillug.serving;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
@@ -189,6 +190,13 @@
      */
     record DrainStarted(Instant requestedAt) implements ServingEvent {}
 
+    /**
+     * The wall clock has been set, or has gone on while this process was suspended.
+     *
+     * @param offset by how much the wall clock is now ahead of the steady time that comes with the events
+     */
+    record WallClockSet(Duration offset) implements ServingEvent {}
+
     /**
      * All answers are written and the process is closing its ports: no request that is read from now on may be
      * accepted.
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
@@ -30,6 +32,8 @@
 import org.wagtaillug.daemon.ProcessRun;
 import org.wagtaillug.daemon.control.ControlThread;
 import org.wagtaillug.daemon.control.MonotonicClock;
+import org.wagtaillug.daemon.control.SteadyClock;
+import org.wagtaillug.daemon.control.WallClockMonitor;
 import org.wagtaillug.daemon.translation.Translation;
 import org.wagtaillug.daemon.tunnel.PeerTunnels;
 import org.wagtaillug.daemon.tunnel.TunnelServer;
@@ -100,6 +104,7 @@
     private final Path file;
     private final RoutedSettings settings;
     private final MonotonicClock clock = new MonotonicClock();
+    private final WallClockMonitor wallClock = new WallClockMonitor(new SteadyClock());
     private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 4);
     private final RoutedExchanges exchanges = new RoutedExchanges();
     private final RoutedMetrics metrics = new RoutedMetrics();
@@ -148,10 +153,20 @@
                         settings.coldBound().ratio(), settings.coldBound().fixed()));
         settings.seeds().forEach(setup::seed);
         control = new ControlThread<>(
-                new Serving(setup.build()), Serving::handle, new ServingEvent.Tick(), clock, Serving::tickInterval);
+                new Serving(setup.build()), this::decide, new ServingEvent.Tick(), clock, Serving::tickInterval);
         server = new Server(threads);
     }
 
+    private List<ServingEffect> decide(Serving serving, ServingEvent event, Instant now) {
+        Optional<Duration> offset = wallClock.pollChange();
+        if (offset.isEmpty()) {
+            return serving.handle(event, now);
+        }
+        List<ServingEffect> decided = new ArrayList<>(serving.handle(new ServingEvent.WallClockSet(offset.get()), now));
+        decided.addAll(serving.handle(event, now));
+        return decided;
+    }
+
     private HttpClient client() {
         HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(new UpstreamConnector());
         transport.setInvocationType(Invocable.InvocationType.NON_BLOCKING);
