--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/control/MonotonicClock.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/clock/MonotonicClock.java
@@ -1,4 +1,4 @@
-package org.wagtaillug.daemon.control;
+package org.wagtaillug.clock;
 
 import java.time.Clock;
 import java.time.Duration;
@@ -28,7 +28,13 @@
         this(Clock.systemUTC(), System::nanoTime);
     }
 
-    MonotonicClock(Clock wall, LongSupplier nanos) {
+    /**
+     * Creates a clock.
+     *
+     * @param wall the wall clock
+     * @param nanos the monotonic clock, in nanoseconds
+     */
+    public MonotonicClock(Clock wall, LongSupplier nanos) {
         this.wall = wall;
         this.nanos = nanos;
         this.start = wall.instant();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/control/SteadyClock.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/clock/SteadyClock.java
@@ -1,4 +1,4 @@
-package org.wagtaillug.daemon.control;
+package org.wagtaillug.clock;
 
 import java.time.Clock;
 import java.time.Duration;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/clock/package-info.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/clock/package-info.java
@@ -1,2 +1,2 @@
-/** Wall-clock times, which processes can compare with each other, apart from the steady time by which a node decides. */
+/** The clocks by which nodes decide, and the offset of the wall clock, by which processes compare times with each other. */
 package org.wagtaillug.clock;
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/control/MonotonicClockTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/clock/MonotonicClockTest.java
@@ -1,4 +1,4 @@
-package org.wagtaillug.daemon.control;
+package org.wagtaillug.clock;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/control/ControlThread.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/control/ControlThread.java
@@ -16,6 +16,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.wagtaillug.clock.MonotonicClock;
 
 /**
  * Runs all decisions of the node sequentially on one thread; other threads submit events and the resulting effects are
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -29,11 +30,11 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.SteadyClock;
+import org.wagtaillug.clock.WallClockMonitor;
 import org.wagtaillug.daemon.ProcessRun;
 import org.wagtaillug.daemon.control.ControlThread;
-import org.wagtaillug.daemon.control.MonotonicClock;
-import org.wagtaillug.daemon.control.SteadyClock;
-import org.wagtaillug.daemon.control.WallClockMonitor;
 import org.wagtaillug.daemon.translation.Translation;
 import org.wagtaillug.daemon.tunnel.PeerTunnels;
 import org.wagtaillug.daemon.tunnel.TunnelServer;
@@ -103,8 +104,8 @@
 
     private final Path file;
     private final RoutedSettings settings;
-    private final MonotonicClock clock = new MonotonicClock();
-    private final WallClockMonitor wallClock = new WallClockMonitor(new SteadyClock());
+    private final MonotonicClock clock;
+    private final WallClockMonitor wallClock;
     private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 4);
     private final RoutedExchanges exchanges = new RoutedExchanges();
     private final RoutedMetrics metrics = new RoutedMetrics();
@@ -132,8 +133,27 @@
      */
     public RoutedDaemon(
             Path file, RoutedSettings settings, RecordDecoder decoder, Function<HttpClient, Translation> translate) {
+        this(file, settings, decoder, translate, Clock.systemUTC());
+    }
+
+    /**
+     * Creates a node; nothing runs before {@link #start}.
+     *
+     * @param file the file that the settings were read from
+     * @param decoder decodes the records of feeds
+     * @param translate creates the translation; receives the client to be used for requests to the store
+     * @param wall the wall clock, which may be set at any time
+     */
+    public RoutedDaemon(
+            Path file,
+            RoutedSettings settings,
+            RecordDecoder decoder,
+            Function<HttpClient, Translation> translate,
+            Clock wall) {
         this.file = file;
         this.settings = settings;
+        clock = new MonotonicClock(wall, System::nanoTime);
+        wallClock = new WallClockMonitor(new SteadyClock(wall, System::nanoTime));
         threads.setName("traffic");
         self = new NodeId(settings.node().vm(), clock.now().toEpochMilli());
         pooledClient = client();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
@@ -7,7 +7,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
-import org.wagtaillug.daemon.control.MonotonicClock;
+import org.wagtaillug.clock.MonotonicClock;
 import org.wagtaillug.dispatch.Attempt;
 import org.wagtaillug.dispatch.AttemptEnd;
 import org.wagtaillug.id.AttemptId;
