--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/EngineFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/EngineFleet.java
@@ -202,10 +202,15 @@
 
     /** Starts a killed node again. */
     void restart(VmId node) {
-        world.start(node, world.now.toEpochMilli());
+        world.start(node, world.wallTime(node).toEpochMilli());
         disturbedAt.put(node, world.now);
     }
 
+    /** Sets the wall clock of a node ahead, or back by a negative time. */
+    void stepWallClock(VmId node, Duration step) {
+        world.wallClockErrors.merge(node, step, Duration::plus);
+    }
+
     /** Cuts a node off from all other nodes, or ends that; it still reaches the store. */
     void setIsolated(VmId node, boolean isolated) {
         if (isolated) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormRandomTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormRandomTest.java
@@ -27,6 +27,7 @@
 
     private final Set<VmId> killed = new HashSet<>();
     private boolean storeAway;
+    private boolean stepsWallClocks;
 
     static LongStream seeds() {
         return LongStream.concat(LongStream.rangeClosed(1, SEEDS), LongStream.of(LOAD_MOVES))
@@ -48,6 +49,14 @@
         play(seed);
     }
 
+    /** Guards against any series of steps of wall clocks, beside other faults, after which nodes send too many retries. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void retriesStayBoundedWhileWallClocksAreSet(long seed) {
+        stepsWallClocks = true;
+        play(seed);
+    }
+
     private void play(long seed) {
         Random random = new Random(seed);
         int nodes = 3 + random.nextInt(20);
@@ -59,6 +68,9 @@
         }
         for (int fault = 0; fault < FAULTS; fault++) {
             inject(fleet, nodes, random);
+            if (stepsWallClocks) {
+                stepWallClocks(fleet, nodes, random);
+            }
             fleet.run(Duration.ofMillis(200 + random.nextInt(2500)), soundPerSecond, 4);
         }
         restartKilled(fleet);
@@ -93,6 +105,20 @@
         }
     }
 
+    /** Sets the wall clocks of all nodes or of some of them by a second to a minute, ahead or back. */
+    private static void stepWallClocks(EngineFleet fleet, int nodes, Random random) {
+        if (random.nextBoolean()) {
+            return;
+        }
+        double share = random.nextBoolean() ? 1 : random.nextDouble();
+        long stepMillis = (long) (1000 * Math.pow(60, random.nextDouble())) * (random.nextInt(3) == 0 ? -1 : 1);
+        for (int number = 1; number <= nodes; number++) {
+            if (random.nextDouble() < share) {
+                fleet.stepWallClock(fleet.node(number), Duration.ofMillis(stepMillis));
+            }
+        }
+    }
+
     private void restartKilled(EngineFleet fleet) {
         killed.forEach(fleet::restart);
         killed.clear();
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
@@ -33,6 +33,43 @@
         assertThat(fleet.arrivals.excesses()).isEmpty();
     }
 
+    /** Guards against windows of retries that end early when wall clocks are set ahead, once or in series. */
+    @ParameterizedTest
+    @CsvSource({"3, 1, 9500", "6, 1, 9500", "9, 1, 5000", "9, 4, 3000", "9, 2, 3600000", "77, 1, 9500", "95, 3, 4000"})
+    void retriesStayBoundedWhenWallClocksAreSetAheadWhileEnginesRejectRequests(int nodes, int steps, long stepMillis) {
+        EngineFleet fleet = start(nodes);
+        fleet.rejectedShare = 0.8;
+        fleet.run(Duration.ofSeconds(2), SOUND_PER_SECOND, 0);
+        for (int step = 0; step < steps; step++) {
+            for (int number = 1; number <= nodes; number++) {
+                fleet.stepWallClock(fleet.node(number), Duration.ofMillis(stepMillis));
+            }
+            fleet.run(Duration.ofMillis(1500), SOUND_PER_SECOND, 0);
+        }
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        assertThat(fleet.arrivals.retries()).isPositive();
+        assertThat(fleet.arrivals.excesses()).isEmpty();
+    }
+
+    /** Guards against a run that takes its own age from wall clocks, which are set while all nodes start again. */
+    @ParameterizedTest
+    @CsvSource({"3, 9500", "9, 9500", "9, -9500", "77, 12000"})
+    void retriesStayBoundedWhenWallClocksAreSetBesideRestartsOfAllNodes(int nodes, long stepMillis) {
+        EngineFleet fleet = start(nodes);
+        fleet.rejectedShare = 0.8;
+        for (int restart = 0; restart < 2; restart++) {
+            fleet.run(Duration.ofSeconds(2), SOUND_PER_SECOND, 0);
+            restartAll(fleet, nodes);
+            fleet.run(Duration.ofSeconds(1), SOUND_PER_SECOND, 0);
+            for (int number = 1; number <= nodes; number++) {
+                fleet.stepWallClock(fleet.node(number), Duration.ofMillis(stepMillis));
+            }
+        }
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        assertThat(fleet.arrivals.retries()).isPositive();
+        assertThat(fleet.arrivals.excesses()).isEmpty();
+    }
+
     /** Guards against nodes that resume all interrupted streams again after each restart, while engines end together. */
     @ParameterizedTest
     @CsvSource({"9", "77"})
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -1,8 +1,11 @@
 package org.wagtaillug.serving;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
+import java.time.ZoneOffset;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -12,9 +15,13 @@
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.wagtaillug.batch.BatchCall;
 import org.wagtaillug.batch.BatchCallEnd;
 import org.wagtaillug.batch.BatchCallEnd.ItemAnswer;
+import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.SteadyClock;
+import org.wagtaillug.clock.WallClockMonitor;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.feed.ConfigurationItem;
 import org.wagtaillug.feed.DirectoryItem;
@@ -97,10 +104,15 @@
     final Map<VmId, UpstreamNotice> notices = new HashMap<>();
 
     final Map<FeedName, List<FeedRecord>> store = new HashMap<>();
+    /** By how much the wall clocks of nodes are ahead of the time. */
+    final Map<VmId, Duration> wallClockErrors = new HashMap<>();
+
     Duration answerDelay = MESSAGE_DELAY;
     Instant now = START;
     private final Duration grace;
     private final Map<VmId, Long> incarnations = new HashMap<>();
+    private final Map<VmId, MonotonicClock> clocks = new HashMap<>();
+    private final Map<VmId, WallClockMonitor> wallClocks = new HashMap<>();
     private final Map<Long, PoolId> pools = new HashMap<>();
     private final Map<String, Object> decodedRecords = new HashMap<>();
     private final PriorityQueue<Delivery> deliveries = new PriorityQueue<>();
@@ -146,6 +158,10 @@
                 .build();
         nodes.put(vm, new Serving(setup));
         incarnations.put(vm, incarnation);
+        Clock wall = ((InstantSource) () -> wallTime(vm)).withZone(ZoneOffset.UTC);
+        LongSupplier nanos = () -> Duration.between(START, now).toNanos();
+        clocks.put(vm, new MonotonicClock(wall, nanos));
+        wallClocks.put(vm, new WallClockMonitor(new SteadyClock(wall, nanos)));
         effectsByNode.computeIfAbsent(vm, id -> new ArrayList<>());
     }
 
@@ -363,12 +379,22 @@
                         resumption)));
     }
 
+    /** The wall clock of a node. */
+    Instant wallTime(VmId vm) {
+        return now.plus(wallClockErrors.getOrDefault(vm, Duration.ZERO));
+    }
+
     /** Passes an event to a node and executes its effects. */
     void handle(VmId vm, ServingEvent event) {
         if (failed.contains(vm)) {
             return;
         }
-        for (ServingEffect effect : nodes.get(vm).handle(event, now)) {
+        wallClocks.get(vm).pollChange().ifPresent(offset -> decide(vm, new ServingEvent.WallClockSet(offset)));
+        decide(vm, event);
+    }
+
+    private void decide(VmId vm, ServingEvent event) {
+        for (ServingEffect effect : nodes.get(vm).handle(event, clocks.get(vm).now())) {
             effectsByNode.get(vm).add(effect);
             effectHistory.add(effect);
             execute(vm, effect);
