A wall clock that is set ahead does not end times early at nodes that serve the platform

Callers lost requests whose time was not over, and upstreams that had asked for a pause got requests.

Cause: one time for two promises that err in opposite directions. MonotonicClock adds what the wall clock gains, so that leases end early on a VM that was suspended. All decisions ran on it, so windows, pauses, intervals and deadlines ended early as well.

Change: nodes that serve the platform decide by SteadyClock, which nothing sets. Where a time is compared with what other processes have written (start times of upstreams, turns), it is converted to WallTime, a type of its own, by the offset that comes as an event. Nodes of pipelines keep MonotonicClock, as their leases need it.

Without the conversion one new case each of RequestedPauseTest and LeavingUpstreamTest fails.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/admission/BrittlePools.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/admission/BrittlePools.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import org.wagtaillug.clock.WallClock;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.peer.Roster;
@@ -31,13 +33,15 @@
     private static final double MIN_TURNS_PER_SECOND = 0.2;
 
     private final Roster roster;
+    private final WallClock wallClock;
     private final Map<PoolId, Announcement> brittle = new HashMap<>();
 
     private record Announcement(double maxRejections, Instant at) {}
 
     /** Creates an instance that knows of no brittle pool. */
-    public BrittlePools(Roster roster) {
+    public BrittlePools(Roster roster, WallClock wallClock) {
         this.roster = roster;
+        this.wallClock = wallClock;
     }
 
     /**
@@ -83,6 +87,7 @@
     private boolean hasTurn(Upstream upstream, Announcement known, int nodes, Instant now) {
         double perSecond = Math.max(MIN_TURNS_PER_SECOND, known.maxRejections() * TURN_RATIO);
         long turns = (long) Math.ceil(nodes / perSecond);
-        return Math.floorMod(now.getEpochSecond(), turns) == Math.floorMod(roster.rank(upstream.id()), turns);
+        long second = TimeUnit.MILLISECONDS.toSeconds(wallClock.wallTime(now).epochMillis());
+        return Math.floorMod(second, turns) == Math.floorMod(roster.rank(upstream.id()), turns);
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/clock/WallClock.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/clock/WallClock.java
@@ -1,8 +1,9 @@
 package org.wagtaillug.clock;
 
 import java.time.Duration;
+import java.time.Instant;
 
-/** The offset of the wall clock from the steady time by which a node decides. */
+/** Converts between the steady time by which a node decides and wall-clock time. */
 public final class WallClock {
     private Duration offset = Duration.ZERO;
 
@@ -16,4 +17,14 @@
         offset = latest;
         return change;
     }
+
+    /** The wall-clock time at a steady time, as the wall clock is set now. */
+    public WallTime wallTime(Instant steadyTime) {
+        return new WallTime(steadyTime.plus(offset).toEpochMilli());
+    }
+
+    /** The steady time at a wall-clock time, as the wall clock is set now. */
+    public Instant steadyTime(WallTime wallTime) {
+        return Instant.ofEpochMilli(wallTime.epochMillis()).minus(offset);
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.wagtaillug.clock.WallTime;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
@@ -169,16 +170,16 @@
     }
 
     /** Whether an upstream has restarted, after an incarnation of it was listed and before a time. */
-    public boolean restarted(VmId id, long incarnation, Instant before) {
+    public boolean restarted(VmId id, long incarnation, WallTime before) {
         for (long later : restarts.getOrDefault(id, new ArrayDeque<>())) {
-            if (later > incarnation && Instant.ofEpochMilli(later).isBefore(before)) {
+            if (later > incarnation && new WallTime(later).isBefore(before)) {
                 return true;
             }
         }
         Upstream known = upstreams.get(id);
         return known != null
                 && known.listing().incarnation() > incarnation
-                && Instant.ofEpochMilli(known.listing().incarnation()).isBefore(before);
+                && new WallTime(known.listing().incarnation()).isBefore(before);
     }
 
     /** Whether an upstream may run at another version than listed, as a connection has failed since its last listing. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedReader.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedReader.java
@@ -153,6 +153,13 @@
         confirmedAt = readAt.isAfter(confirmedAt) ? readAt : confirmedAt;
     }
 
+    /** What was read so far, or is being read, may be older than the time that has passed on this node. */
+    public void onSuspended() {
+        startedAt = Instant.EPOCH;
+        confirmedAt = Instant.EPOCH;
+        lastAnswer = Optional.empty();
+    }
+
     private void answered(Instant now) {
         confirmedAt = startedAt;
         inFlight = false;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamLimits.java
@@ -6,6 +6,7 @@
 import org.wagtaillug.admission.LimitShare;
 import org.wagtaillug.admission.RequestedPauses;
 import org.wagtaillug.admission.WarmupRateLimiter;
+import org.wagtaillug.clock.WallClock;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.notice.AnnouncedRateLimits;
@@ -61,7 +62,7 @@
                 coldBound,
                 new FleetRateLimiter(new AnnouncedRateLimits(), new LimitShare.AmongNodes(roster)),
                 new RequestedPauses(),
-                new BrittlePools(roster));
+                new BrittlePools(roster, new WallClock()));
     }
 
     /** Records a request that is sent to an upstream. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import org.wagtaillug.clock.WallClock;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.directory.VersionKey;
@@ -29,6 +30,7 @@
     private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(500);
 
     private final UpstreamDirectory directory;
+    private final WallClock wallClock;
     private final UpstreamChooser chooser;
     private final UpstreamPaths paths;
     private final RolloutExchange rollouts;
@@ -73,6 +75,7 @@
             StreamExchange streams,
             FlowLog log) {
         this.directory = upstreams.directory();
+        this.wallClock = upstreams.wallClock();
         this.paths = upstreams.paths();
         this.chooser = chooser;
         this.rollouts = rollouts;
@@ -185,7 +188,7 @@
                 .filter(sender -> directory.restarted(
                         sender.upstream(),
                         sender.incarnation(),
-                        now.minus(sender.age()).plus(CLOCK_TOLERANCE)))
+                        wallClock.wallTime(now.minus(sender.age()).plus(CLOCK_TOLERANCE))))
                 .isPresent();
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -85,6 +85,11 @@
         restored = receiver;
     }
 
+    /** This node may have been suspended while its time stood still, so it no longer knows how old its last reads are. */
+    void onSuspended() {
+        readers.values().forEach(FeedReader::onSuspended);
+    }
+
     /** Sets whether this node reads the store on behalf of others. */
     void setReader(boolean reads) {
         reader = reads;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -8,6 +8,8 @@
 import org.wagtaillug.admission.LimitShare;
 import org.wagtaillug.admission.RequestedPauses;
 import org.wagtaillug.admission.WarmupRateLimiter;
+import org.wagtaillug.clock.WallClock;
+import org.wagtaillug.clock.WallTime;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.id.NodeId;
@@ -25,14 +27,16 @@
 /** Collects what upstreams announce in their answers and exchanges it with other nodes. */
 final class NoticeExchange {
     private final UpstreamDirectory directory;
+    private final WallClock wallClock;
     private final Consumer<ServingEffect> effects;
     private final AnnouncedRateLimits rateLimits = new AnnouncedRateLimits();
     private final RequestedPauses pauses = new RequestedPauses();
     private final BrittlePools brittlePools;
 
-    NoticeExchange(UpstreamDirectory directory, Roster roster, Consumer<ServingEffect> effects) {
+    NoticeExchange(UpstreamDirectory directory, Roster roster, WallClock wallClock, Consumer<ServingEffect> effects) {
         this.directory = directory;
-        this.brittlePools = new BrittlePools(roster);
+        this.wallClock = wallClock;
+        this.brittlePools = new BrittlePools(roster, wallClock);
         this.effects = effects;
     }
 
@@ -68,7 +72,8 @@
         }
         if (notice.leaving()) {
             // The upstream may have restarted since its listing was read, but not after the request was sent.
-            long latestStart = Math.max(upstream.incarnation(), sentAt.toEpochMilli());
+            long latestStart =
+                    Math.max(upstream.incarnation(), wallClock.wallTime(sentAt).epochMillis());
             logDeparture(id, latestStart, directory.onDeparture(id, latestStart, now), "answer");
         }
         if (brittlePools.onAnswer(upstream.pool(), notice.maxRejections(), successful, sentAt, now)) {
@@ -119,7 +124,7 @@
 
     /** Handles the restart of an upstream, which may have been listed long after it. */
     void onRestarted(Listing upstream, Instant now) {
-        Instant start = Instant.ofEpochMilli(upstream.incarnation());
+        Instant start = wallClock.steadyTime(new WallTime(upstream.incarnation()));
         rateLimits.onRestarted(upstream.id(), start, now);
         pauses.onRestarted(upstream.id(), start);
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -53,6 +53,9 @@
      */
     private static final Duration HOUSEKEEPING_INTERVAL = Duration.ofMillis(100);
 
+    /** If the wall clock gains more than this at once, this process may have been suspended while its time stood still. */
+    private static final Duration MIN_SUSPENSION = Duration.ofSeconds(1);
+
     private final ServingSetup setup;
     private final List<ServingEffect> effects = new ArrayList<>();
     private final UpstreamDirectory directory = new UpstreamDirectory();
@@ -84,7 +87,7 @@
         feeds = new FeedExchange(peers, effects::add, this::onFeedRecord);
         feeds.onRestored(this::onStoreRestored);
         rollouts = new RolloutExchange(setup, directory, effects::add);
-        notices = new NoticeExchange(directory, roster, effects::add);
+        notices = new NoticeExchange(directory, roster, wallClock, effects::add);
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
         orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
@@ -93,7 +96,11 @@
         flows = new RequestFlows(
                 setup,
                 new UpstreamState(
-                        directory, health, paths, time -> feeds.confirm(FeedName.DIRECTORY, time, currentTime)),
+                        directory,
+                        health,
+                        paths,
+                        wallClock,
+                        time -> feeds.confirm(FeedName.DIRECTORY, time, currentTime)),
                 roster,
                 orders,
                 new Exchanges(rollouts, notices, streams, quarantine),
@@ -173,6 +180,9 @@
     private void onWallClockSet(Duration offset) {
         Duration change = wallClock.set(offset);
         log(Decision.builder("wall_clock").field("offset_ms", offset.toMillis()).field("change_ms", change.toMillis()));
+        if (change.compareTo(MIN_SUSPENSION) > 0) {
+            feeds.onSuspended();
+        }
     }
 
     private void onRecordWritten(ServingEvent.RecordWritten written, Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamState.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamState.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.function.Function;
+import org.wagtaillug.clock.WallClock;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.health.UpstreamHealth;
 
@@ -11,10 +12,12 @@
  * @param directory the registered upstreams
  * @param health their health, as observed through this node's attempts
  * @param paths how requests get to them
+ * @param wallClock compares this node's time with the start times of upstreams
  * @param directoryConfirmation tells whether the directory contains all entries from before a time
  */
 record UpstreamState(
         UpstreamDirectory directory,
         UpstreamHealth health,
         UpstreamPaths paths,
+        WallClock wallClock,
         Function<Instant, FeedExchange.Confirmation> directoryConfirmation) {}
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/LeavingUpstreamTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/LeavingUpstreamTest.java
@@ -104,6 +104,16 @@
         assertThat(targetsOfRequestsTo(3, 4)).contains(UPSTREAM);
     }
 
+    /** Guards against start times of upstreams that are compared with a wall clock that was behind when the node started. */
+    @Test
+    void anAnnouncementConcernsAnEarlierRestartAtANodeWhoseWallClockWasBehind() {
+        world.wallClockErrors.put(node(1), Duration.ofMinutes(-1));
+        world.start(node(1), 2);
+        world.run(SECOND.multipliedBy(5));
+        world.wallClockErrors.clear();
+        anAnnouncementConcernsARestartThatTheNodeHasNotHeardOf();
+    }
+
     /** Guards against an entry that shows a restart only after the restarted upstream has announced it. */
     @Test
     void anAnnouncementConcernsARestartThatTheNodeHasNotHeardOf() {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RequestedPauseTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RequestedPauseTest.java
@@ -132,6 +132,16 @@
         assertThat(targetsOfRequestsTo(1, Duration.ofSeconds(1))).doesNotContain(UPSTREAM);
     }
 
+    /** Guards against start times of upstreams that are compared with a wall clock that was behind when the node started. */
+    @Test
+    void aRestartBeforeTheRefusalDoesNotEndThePauseAtANodeWhoseWallClockWasBehind() {
+        world.wallClockErrors.put(node(1), Duration.ofMinutes(-1));
+        world.start(node(1), 2);
+        world.run(Duration.ofSeconds(5));
+        world.wallClockErrors.clear();
+        aRestartBeforeTheRefusalDoesNotEndThePause();
+    }
+
     private void list(long start) {
         Listing restarted = new Listing(UPSTREAM, start, ORDERS, "10.0.0.1", 80, NORTH, false, Duration.ZERO, "");
         world.write(FeedName.DIRECTORY, UPSTREAM.value(), new DirectoryItem.Listed(restarted));
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -19,7 +19,6 @@
 import org.wagtaillug.batch.BatchCall;
 import org.wagtaillug.batch.BatchCallEnd;
 import org.wagtaillug.batch.BatchCallEnd.ItemAnswer;
-import org.wagtaillug.clock.MonotonicClock;
 import org.wagtaillug.clock.SteadyClock;
 import org.wagtaillug.clock.WallClockMonitor;
 import org.wagtaillug.directory.Listing;
@@ -111,7 +110,7 @@
     Instant now = START;
     private final Duration grace;
     private final Map<VmId, Long> incarnations = new HashMap<>();
-    private final Map<VmId, MonotonicClock> clocks = new HashMap<>();
+    private final Map<VmId, SteadyClock> clocks = new HashMap<>();
     private final Map<VmId, WallClockMonitor> wallClocks = new HashMap<>();
     private final Map<Long, PoolId> pools = new HashMap<>();
     private final Map<String, Object> decodedRecords = new HashMap<>();
@@ -160,8 +159,9 @@
         incarnations.put(vm, incarnation);
         Clock wall = ((InstantSource) () -> wallTime(vm)).withZone(ZoneOffset.UTC);
         LongSupplier nanos = () -> Duration.between(START, now).toNanos();
-        clocks.put(vm, new MonotonicClock(wall, nanos));
-        wallClocks.put(vm, new WallClockMonitor(new SteadyClock(wall, nanos)));
+        SteadyClock clock = new SteadyClock(wall, nanos);
+        clocks.put(vm, clock);
+        wallClocks.put(vm, new WallClockMonitor(clock));
         effectsByNode.computeIfAbsent(vm, id -> new ArrayList<>());
     }
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
@@ -77,7 +77,7 @@
         threads.setName("traffic");
         NodeId self = new NodeId(settings.node().vm(), clock.now().toEpochMilli());
         node = new Node(setup(settings, self));
-        control = new ControlThread<>(node, Node::handle, new Event.Tick(), clock);
+        control = new ControlThread<>(node, Node::handle, new Event.Tick(), clock::now);
         pooledClient = client();
         singleUseClient = client();
         platformClient = client();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/control/ControlThread.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/control/ControlThread.java
@@ -16,7 +16,7 @@
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.wagtaillug.clock.MonotonicClock;
+import java.util.function.Supplier;
 
 /**
  * Runs all decisions of the node sequentially on one thread; other threads submit events and the resulting effects are
@@ -36,7 +36,7 @@
     private final N node;
     private final DecisionFunction<N, E, F> decide;
     private final E tick;
-    private final MonotonicClock clock;
+    private final Supplier<Instant> clock;
     private final Function<N, Duration> tickInterval;
     private final ScheduledExecutorService executor;
     private volatile Consumer<F> effects = effect -> {};
@@ -58,20 +58,21 @@
     }
 
     /** Creates the thread; nothing runs before {@link #start}. */
-    public ControlThread(N node, DecisionFunction<N, E, F> decide, E tick, MonotonicClock clock) {
+    public ControlThread(N node, DecisionFunction<N, E, F> decide, E tick, Supplier<Instant> clock) {
         this(node, decide, tick, clock, ignored -> DEFAULT_TICK_INTERVAL);
     }
 
     /**
      * Creates the thread; nothing runs before {@link #start}.
      *
+     * @param clock gives the time that is passed with the events
      * @param tickInterval gives the time until the next tick in the present state of the node
      */
     public ControlThread(
             N node,
             DecisionFunction<N, E, F> decide,
             E tick,
-            MonotonicClock clock,
+            Supplier<Instant> clock,
             Function<N, Duration> tickInterval) {
         this.node = node;
         this.decide = decide;
@@ -112,7 +113,7 @@
 
     /** Reads the node's state on the control thread. */
     public <T> CompletableFuture<T> query(BiFunction<N, Instant, T> question) {
-        return CompletableFuture.supplyAsync(() -> question.apply(node, clock.now()), executor);
+        return CompletableFuture.supplyAsync(() -> question.apply(node, clock.get()), executor);
     }
 
     /** Runs a task on the control thread, after the events submitted so far; ignored after close. */
@@ -161,7 +162,7 @@
      */
     private List<F> decide(E event) {
         try {
-            return decide.handle(node, event, clock.now());
+            return decide.handle(node, event, clock.get());
         } catch (RuntimeException fault) {
             LOGGER.log(Level.ERROR, "event failed: " + event.getClass().getSimpleName(), fault);
             return List.of();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -30,7 +30,6 @@
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.wagtaillug.clock.MonotonicClock;
 import org.wagtaillug.clock.SteadyClock;
 import org.wagtaillug.clock.WallClockMonitor;
 import org.wagtaillug.daemon.ProcessRun;
@@ -104,7 +103,7 @@
 
     private final Path file;
     private final RoutedSettings settings;
-    private final MonotonicClock clock;
+    private final SteadyClock clock;
     private final WallClockMonitor wallClock;
     private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 4);
     private final RoutedExchanges exchanges = new RoutedExchanges();
@@ -152,8 +151,8 @@
             Clock wall) {
         this.file = file;
         this.settings = settings;
-        clock = new MonotonicClock(wall, System::nanoTime);
-        wallClock = new WallClockMonitor(new SteadyClock(wall, System::nanoTime));
+        clock = new SteadyClock(wall, System::nanoTime);
+        wallClock = new WallClockMonitor(clock);
         threads.setName("traffic");
         self = new NodeId(settings.node().vm(), clock.now().toEpochMilli());
         pooledClient = client();
@@ -173,7 +172,7 @@
                         settings.coldBound().ratio(), settings.coldBound().fixed()));
         settings.seeds().forEach(setup::seed);
         control = new ControlThread<>(
-                new Serving(setup.build()), this::decide, new ServingEvent.Tick(), clock, Serving::tickInterval);
+                new Serving(setup.build()), this::decide, new ServingEvent.Tick(), clock::now, Serving::tickInterval);
         server = new Server(threads);
     }
 
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/administration/AdministrationHandlerTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/administration/AdministrationHandlerTest.java
@@ -5,6 +5,7 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import org.eclipse.jetty.server.Server;
@@ -13,7 +14,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wagtaillug.clock.MonotonicClock;
 import org.wagtaillug.daemon.DecisionLog;
 import org.wagtaillug.daemon.control.ControlThread;
 import org.wagtaillug.daemon.metrics.NodeMetrics;
@@ -33,7 +33,7 @@
     @BeforeEach
     void listen() throws Exception {
         ControlThread<Node, Event, Effect> control =
-                new ControlThread<>(null, Node::handle, new Event.Tick(), new MonotonicClock());
+                new ControlThread<>(null, Node::handle, new Event.Tick(), Instant::now);
         ServerConnector connector = new ServerConnector(server);
         connector.setHost("127.0.0.1");
         server.addConnector(connector);
