A node that does not know the members of the fleet has no part of the fixed retries

What servers would see: with 95 nodes that start again while the store does not answer for the list of members, 551 retries in 10 s for 246 allowed.

Cause: a node without the list divided the fixed part by twelve, whatever the size of the fleet. While the whole store is away such a node serves nothing, as it has no configuration either, and a node that starts beside others learns the members from them. But a store may answer for some feeds only.

Change: the roster knows whether the list has been read, which a node needs to become ready as well; until then the fixed part is zero and retries are paid by the ratio alone.

Evidence: RetryStormTest, the new case fails with 30, 77 and 95 nodes before; passes with 9 on either code, as twelve shares are enough there. Its two cases with the whole store away pass on either code.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Roster.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Roster.java
@@ -43,6 +43,7 @@
     private final Map<String, List<VmId>> rankings = new HashMap<>();
     private final Map<VmId, Integer> ranks = new HashMap<>();
     private Optional<Instant> joinedAt = Optional.empty();
+    private boolean listed;
 
     /** Creates an empty roster. */
     public Roster(VmId self) {
@@ -83,6 +84,16 @@
         ranks.clear();
     }
 
+    /** All records of members have been read once; until then nodes may be missing. */
+    public void onListed() {
+        listed = true;
+    }
+
+    /** Whether all records of members have been read once. */
+    public boolean listed() {
+        return listed;
+    }
+
     /** Finds a member; empty if it is not registered. */
     public Optional<Member> find(VmId id) {
         return Optional.ofNullable(members.get(id));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -60,7 +60,6 @@
     private boolean streamsResumable;
     private boolean enginesInUse;
     private Set<VmId> connected = Set.of();
-    private boolean rosterRead;
     private boolean rosterChanged;
     private boolean rolloutInProgress;
     private Set<PoolId> doubtfulPools = Set.of();
@@ -173,7 +172,7 @@
         }
         Member entry = decoded.get();
         registration.onEntry(entry, now);
-        if (roster.add(entry, !rosterRead, now)) {
+        if (roster.add(entry, !roster.listed(), now)) {
             log(Decision.builder("member_joined")
                     .field("member", id)
                     .field("capacity", entry.capacity())
@@ -201,7 +200,9 @@
 
     /** Renews the registration, updates the set of monitored peers and sends heartbeats that are due. */
     void onTick(boolean rosterKnown, Set<VmId> partners, HeartbeatFactory heartbeats, Instant now) {
-        rosterRead |= rosterKnown;
+        if (rosterKnown) {
+            roster.onListed();
+        }
         if (rosterChanged) {
             // Once for all members that join together; otherwise every join during the start of a fleet would
             // recompute all rankings.
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -66,12 +66,12 @@
 
     /**
      * What this node may spend. Nothing until what an earlier run may have spent is older than the window, and nothing at
-     * shutdown, as a later run may begin before this one ends.
+     * shutdown, as a later run may begin before this one ends. No part of the fixed retries before the members are known.
      */
     private RetryBudget.Share share(Instant now) {
         boolean open = !shutdown.started() && !now.isBefore(startedAt.plus(limits.window()));
         double shares = Math.max(roster.sharingNodes(), SHARES_PER_MEMBER * roster.size());
-        return new RetryBudget.Share(limits.fixed() / shares, open);
+        return new RetryBudget.Share(roster.listed() ? limits.fixed() / shares : 0, open);
     }
 
     /** Adds a request to those by which the budget of its pool is measured. */
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.id.RequestId;
 
 /** Retries that reach engines from all nodes together, while engines fail and nodes are restarted. */
@@ -70,6 +71,53 @@
         assertThat(fleet.arrivals.excesses()).isEmpty();
     }
 
+    /** Guards against nodes that start without the store, and take a share as if the fleet had few members. */
+    @ParameterizedTest
+    @CsvSource({"9", "30", "77", "95"})
+    void retriesStayBoundedWhenNodesStartWhileTheStoreIsAway(int nodes) {
+        EngineFleet fleet = start(nodes);
+        fleet.setStoreAway(true);
+        restartAll(fleet, nodes);
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        fleet.rejectedShare = 0.8;
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        fleet.setStoreAway(false);
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        assertThat(fleet.arrivals.excesses()).isEmpty();
+    }
+
+    /** Guards against nodes that serve without the list of members, and take a share as if the fleet had few of them. */
+    @ParameterizedTest
+    @CsvSource({"9", "30", "77", "95"})
+    void retriesStayBoundedWhenNodesStartWhileTheStoreDoesNotListMembers(int nodes) {
+        EngineFleet fleet = start(nodes);
+        fleet.world.feedsAway.add(FeedName.MEMBERSHIP);
+        restartAll(fleet, nodes);
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        fleet.rejectedShare = 0.8;
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        assertThat(fleet.arrivals.retries()).isPositive();
+        assertThat(fleet.arrivals.excesses()).isEmpty();
+    }
+
+    /** Guards against nodes that start in turn without the store, and learn of the members from others only. */
+    @ParameterizedTest
+    @CsvSource({"9", "77"})
+    void retriesStayBoundedWhenNodesStartInTurnWhileTheStoreIsAway(int nodes) {
+        EngineFleet fleet = start(nodes);
+        fleet.setStoreAway(true);
+        for (int number = 1; number <= nodes; number++) {
+            fleet.kill(fleet.node(number));
+            fleet.run(Duration.ofMillis(6000 / nodes), SOUND_PER_SECOND, 0);
+            fleet.restart(fleet.node(number));
+        }
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        fleet.rejectedShare = 0.8;
+        fleet.run(CALM, SOUND_PER_SECOND, 0);
+        assertThat(fleet.arrivals.retries()).isPositive();
+        assertThat(fleet.arrivals.excesses()).isEmpty();
+    }
+
     /** Guards against nodes that resume all interrupted streams again after each restart, while engines end together. */
     @ParameterizedTest
     @CsvSource({"9", "77"})
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -7,6 +7,7 @@
 import java.time.InstantSource;
 import java.time.ZoneOffset;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -82,6 +83,10 @@
     final Map<String, Integer> releaseCounts = new HashMap<>();
     final Set<VmId> cutOffFromStore = new HashSet<>();
     final Set<VmId> refusedByStore = new HashSet<>();
+
+    /** Feeds that the store does not answer for, while it serves the others. */
+    final Set<FeedName> feedsAway = EnumSet.noneOf(FeedName.class);
+
     final Set<VmId> failed = new HashSet<>();
 
     /** Nodes that receive no messages from other nodes. */
@@ -473,7 +478,10 @@
         List<FeedRecord> records = store.get(write.feed());
         long end = FeedPosition.of(era, records.size());
         boolean asExpected = write.expectedEnd().orElse(end) == end;
-        boolean done = asExpected && !refusedByStore.contains(vm) && !cutOffFromStore.contains(vm);
+        boolean done = asExpected
+                && !refusedByStore.contains(vm)
+                && !cutOffFromStore.contains(vm)
+                && !feedsAway.contains(write.feed());
         if (done) {
             records.add(new FeedRecord(write.key(), records.size(), write.value()));
         }
@@ -485,7 +493,7 @@
             schedule(MESSAGE_DELAY, vm, new ServingEvent.FeedFailed(read.feed(), "status 503"));
             return;
         }
-        if (cutOffFromStore.contains(vm)) {
+        if (cutOffFromStore.contains(vm) || feedsAway.contains(read.feed())) {
             schedule(Duration.ofMillis(900), vm, new ServingEvent.FeedFailed(read.feed(), "cut off"));
             return;
         }
