Nodes that hear of no other one learn of quarantines before they send, and do not each send a trial

Cause, from the late sends: a node without contact read the store only once it had seen a crash itself, so each such node spent a request and its retry first; and each of them believed that trials were up to it, as it took all others for down.

Change: a node that hears of no other one reads the quarantines each second, and sends a trial only if it is the first candidate with all nodes up. In normal operation no node is alone, so the store gets no more calls.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -250,6 +250,12 @@
         return holders.isEmpty() ? self : holders.getFirst();
     }
 
+    /** The node that holds a duty while all nodes are up; this node if there is no candidate. */
+    public VmId firstCandidate(String duty) {
+        List<VmId> ranking = duties.getOrDefault(duty, Duty.of(List.of())).ranking();
+        return ranking.isEmpty() ? self : ranking.getFirst();
+    }
+
     /** The first {@code count} candidates for a duty that are up and accept work; fewer if there are not as many. */
     public List<VmId> holders(String duty, int count, boolean serving, Instant now) {
         return holders(duties.getOrDefault(duty, Duty.of(List.of())), count, serving, now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/CrashEvidence.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/CrashEvidence.java
@@ -281,11 +281,6 @@
         return !crashesByNode.isEmpty();
     }
 
-    boolean crashedSince(Instant time) {
-        return crashesByNode.values().stream().flatMap(List::stream).anyMatch(crash -> crash.at()
-                .isAfter(time));
-    }
-
     /** Drops crashes that are too old. */
     void expire(Instant now) {
         if (crashesByNode.isEmpty()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/quarantine/Quarantine.java
@@ -366,11 +366,6 @@
         return inForce;
     }
 
-    /** Whether any node is known to have seen a crash after a time. */
-    public boolean crashedSince(Instant time) {
-        return evidence.crashedSince(time);
-    }
-
     /** Whether the state of a quarantine is known, in force or lifted. */
     public boolean knows(Set<SegmentId> segments) {
         return states.containsKey(segments);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/QuarantineExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/QuarantineExchange.java
@@ -41,9 +41,6 @@
 
     private static final Duration WRITE_RETRY_INTERVAL = Duration.ofMillis(500);
 
-    /** For this long after a crash, a node without peers reads the store at short intervals. */
-    private static final Duration READS_AFTER_CRASH = Duration.ofSeconds(15);
-
     private final VmId self;
     private final Peers peers;
     private final BooleanSupplier acceptsWork;
@@ -96,9 +93,7 @@
 
     /** Whether this node may send a request under quarantine, to find out whether such requests still crash upstreams. */
     private boolean tryTrial(RoutedRequest request, QuarantineEntry entry, Instant now) {
-        boolean first = peers.dutyHolder(PeerMembership.QUARANTINE_DUTY, acceptsWork.getAsBoolean(), now)
-                .equals(self);
-        if (!first || !quarantine.tryTrial(request.sharedSegmentIds(), now)) {
+        if (!holdsTrials(now) || !quarantine.tryTrial(request.sharedSegmentIds(), now)) {
             return false;
         }
         announcementDue = true;
@@ -106,6 +101,15 @@
         return true;
     }
 
+    /** Whether trials are up to this node. Of the nodes that hear of no other one, they are up to one at most. */
+    private boolean holdsTrials(Instant now) {
+        if (alone(now)) {
+            return peers.firstCandidate(PeerMembership.QUARANTINE_DUTY).equals(self);
+        }
+        return peers.dutyHolder(PeerMembership.QUARANTINE_DUTY, acceptsWork.getAsBoolean(), now)
+                .equals(self);
+    }
+
     /** Whether the prompt of a request may be what crashes upstreams: not all of its segments were completed recently. */
     boolean mayCrash(RoutedRequest request, Instant now) {
         return !quarantine.completedRecently(request.sharedSegmentIds(), now);
@@ -205,10 +209,14 @@
         return result;
     }
 
-    /** Whether the store must be read now, as nodes that this node cannot hear may know more of recent crashes. */
+    /** Whether this node hears of no other one. */
+    private boolean alone(Instant now) {
+        return peers.upPeers(now).isEmpty();
+    }
+
+    /** Whether the store must be read now, as nodes that this node cannot hear may know of crashes. */
     boolean pollReadDue(Instant now) {
-        boolean alone = peers.upPeers(now).isEmpty();
-        if (!alone || now.isBefore(readDue) || !quarantine.crashedSince(now.minus(READS_AFTER_CRASH))) {
+        if (!alone(now) || now.isBefore(readDue)) {
             return false;
         }
         readDue = now.plus(READ_INTERVAL);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/CrashingPromptsTest.java
@@ -72,9 +72,20 @@
         verify(fleet);
     }
 
-    /** Guards against nodes that pool what they see only by way of other nodes. */
+    /** Guards against nodes that pool what they see only by way of other nodes, and against a trial by each node that hears of none. */
     @ParameterizedTest
-    @CsvSource({"9, 1, 1", "9, 2, 2", "30, 3, 3"})
+    @CsvSource({
+        "9, 1, 1",
+        "9, 2, 2",
+        "30, 3, 3",
+        "30, 3, 1",
+        "30, 3, 8",
+        "30, 3, 19",
+        "30, 3, 30",
+        "30, 3, 60",
+        "30, 3, 96",
+        "77, 6, 1"
+    })
     void promptsAreStoppedAtNodesThatReachOnlyTheStore(int nodes, int isolated, long seed) {
         EngineFleet fleet = start(nodes, 8, seed);
         for (int number = 1; number <= isolated; number++) {
