Retries of many nodes stay bounded while their loads fluctuate

Cause, traced, and not the moves of load that were suspected: all nodes had been restarted ten seconds before and were up in the whole window. In it, in the one before and in the one between, they had 840, 996 and 1,099 requests. A node with 1.9 of the fixed retries sends 272 / 20 = 13.6 only on 59 requests in its own busiest window, 1,170 for all: these windows do not coincide. A quarter of the fixed part was left for that, whatever the load.

Change: the ratio times the square root of a node's requests, about what they deviate from their mean, is taken from its part of the fixed retries, in place of a quarter. At 8 nodes with 90 requests each nothing changes, as twelve shares bind; at 77 nodes with 50 requests each and 194 fixed retries a node may send 11.1 in place of 11.9. The retry line names the limit.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/retry/RetryBudget.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/retry/RetryBudget.java
@@ -21,19 +21,21 @@
     /**
      * What a node may spend at a time.
      *
-     * @param fixed retries per window in addition to the ratio, for this node
+     * @param fixed retries per window in addition to the ratio, for this node, from which the deviation of its load is taken
+     * @param maxFixed the most that may be left of them
      * @param open whether no other run of this node can have used the share within the window
      */
-    public record Share(double fixed, boolean open) {}
+    public record Share(double fixed, double maxFixed, boolean open) {}
 
     /**
      * The state of a budget.
      *
      * @param requests the requests in the window
      * @param retries the retries in the window
-     * @param share what the node may spend
+     * @param limit the most retries that the window may hold
+     * @param open whether this node may retry now
      */
-    public record Usage(int requests, int retries, Share share) {}
+    public record Usage(int requests, int retries, double limit, boolean open) {}
 
     /**
      * Creates a budget without recorded requests or retries.
@@ -55,17 +57,26 @@
     /** Takes one retry from the budget; false if it is exhausted or this run must not spend it yet. */
     public boolean tryAcquire(Share share, Instant now) {
         expire(now);
-        if (!share.open() || retries.size() + 1 > ratio * requests.size() + share.fixed()) {
+        if (!share.open() || retries.size() + 1 > limit(share)) {
             return false;
         }
         retries.addLast(now);
         return true;
     }
 
+    /**
+     * The busiest windows of nodes do not coincide, so their sum exceeds the busiest window of all nodes. The requests of a node
+     * deviate from their mean by about the square root.
+     */
+    private double limit(Share share) {
+        double deviation = ratio * Math.sqrt(requests.size());
+        return ratio * requests.size() + Math.min(share.maxFixed(), share.fixed() - deviation);
+    }
+
     /** What decides at a time whether a retry is available. */
     public Usage usage(Share share, Instant now) {
         expire(now);
-        return new Usage(requests.size(), retries.size(), share);
+        return new Usage(requests.size(), retries.size(), limit(share), share.open());
     }
 
     private void expire(Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -99,8 +99,8 @@
                 .field("executions", flow.executions())
                 .field("window_requests", budget.requests())
                 .field("window_retries", budget.retries())
-                .field("fixed", budget.share().fixed())
-                .field("open", budget.share().open()));
+                .field("limit", budget.limit())
+                .field("open", budget.open()));
     }
 
     void send(Flow flow, Upstream upstream, int inFlight, long keptTokens, Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -29,12 +29,6 @@
         BROKEN
     }
 
-    /**
-     * Shares of the fixed part for each member, of which one is used. Load moves between nodes, and their busiest windows add up to more
-     * than any window of all nodes.
-     */
-    private static final double SHARES_PER_MEMBER = 4.0 / 3;
-
     private final Instant startedAt;
     private final ServingSetup.RetryLimits limits;
     private final Roster roster;
@@ -70,8 +64,8 @@
      */
     private RetryBudget.Share share(Instant now) {
         boolean open = !shutdown.started() && !now.isBefore(startedAt.plus(limits.window()));
-        double shares = Math.max(roster.sharingNodes(), SHARES_PER_MEMBER * roster.size());
-        return new RetryBudget.Share(roster.listed() ? limits.fixed() / shares : 0, open);
+        double fixed = roster.listed() ? limits.fixed() / Math.max(1, roster.size()) : 0;
+        return new RetryBudget.Share(fixed, limits.fixed() / roster.sharingNodes(), open);
     }
 
     /** Adds a request to those by which the budget of its pool is measured. */
--- a/wagtaillug-core/src/test/java/org/wagtaillug/retry/RetryBudgetTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/retry/RetryBudgetTest.java
@@ -9,8 +9,8 @@
 class RetryBudgetTest {
     private static final Instant NOW = Instant.parse("2026-01-01T00:00:00Z");
     private static final Duration WINDOW = Duration.ofSeconds(10);
-    private static final RetryBudget.Share ONE = new RetryBudget.Share(1, true);
-    private static final RetryBudget.Share FOUR = new RetryBudget.Share(4, true);
+    private static final RetryBudget.Share ONE = new RetryBudget.Share(1, 1, true);
+    private static final RetryBudget.Share FOUR = new RetryBudget.Share(9, 4, true);
 
     @Test
     void noWindowExceedsTheBudget() {
@@ -26,6 +26,19 @@
         assertThat(spent).isEqualTo(24);
     }
 
+    /** Guards against nodes of a large fleet that all send their most retries, each in its busiest window. */
+    @Test
+    void theDeviationOfTheLoadIsTakenFromTheFixedPart() {
+        RetryBudget budget = new RetryBudget(WINDOW, 0.2);
+        RetryBudget.Share share = new RetryBudget.Share(3, 4, true);
+        int spent = 0;
+        for (int request = 0; request < 100; request++) {
+            budget.onRequest(NOW);
+            spent += budget.tryAcquire(share, NOW) ? 1 : 0;
+        }
+        assertThat(spent).isEqualTo(21);
+    }
+
     @Test
     void spentRetriesAreAvailableAgainAfterTheWindow() {
         RetryBudget budget = new RetryBudget(WINDOW, 0.2);
@@ -41,7 +54,7 @@
         for (int request = 0; request < 100; request++) {
             budget.onRequest(NOW);
         }
-        assertThat(budget.tryAcquire(new RetryBudget.Share(4, false), NOW)).isFalse();
+        assertThat(budget.tryAcquire(new RetryBudget.Share(9, 4, false), NOW)).isFalse();
         assertThat(budget.tryAcquire(FOUR, NOW)).isTrue();
     }
 }
