The clock of nodes with leases is named for them; a run's start is not taken from its identity

A newcomer would take MonotonicClock for the opposite of what it promises; it is LeaseClock beside SteadyClock now. Retries asked the incarnation, an identity, for the start of the run; it is a parameter of its own.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/clock/MonotonicClock.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/clock/LeaseClock.java
@@ -6,15 +6,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * The current time of this process: the wall-clock time at the start plus the monotonic time since, so it never goes
- * back.
+ * The time of a node that holds leases: the wall-clock time at the start plus the monotonic time since, so it never goes
+ * back. Limits that must not end early are measured with a {@link SteadyClock}.
  *
  * <p>Leases are durations, so they are measured with the monotonic clock. Two failures are covered. A wall clock that
  * is set back would prolong every lease; the step is ignored. On a suspended VM the monotonic clock may stop while the
  * clocks of other nodes go on, and after waking the VM would hold its leases indefinitely. Then the wall clock has
  * gained on the monotonic clock, and the gain is added: leases end early, never late.
  */
-public final class MonotonicClock {
+public final class LeaseClock {
     private static final Duration MAX_WALL_CLOCK_GAIN = Duration.ofSeconds(1);
 
     private final Clock wall;
@@ -24,17 +24,11 @@
     private Duration gained = Duration.ZERO;
 
     /** Creates a clock that uses the system clocks. */
-    public MonotonicClock() {
+    public LeaseClock() {
         this(Clock.systemUTC(), System::nanoTime);
     }
 
-    /**
-     * Creates a clock.
-     *
-     * @param wall the wall clock
-     * @param nanos the monotonic clock, in nanoseconds
-     */
-    public MonotonicClock(Clock wall, LongSupplier nanos) {
+    LeaseClock(Clock wall, LongSupplier nanos) {
         this.wall = wall;
         this.nanos = nanos;
         this.start = wall.instant();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/clock/SteadyClock.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/clock/SteadyClock.java
@@ -7,7 +7,8 @@
 
 /**
  * The wall-clock time at the start of this process plus the monotonic time since. It is never set, neither back nor ahead, so
- * no time that is measured with it ends early; on a VM that is suspended it may stand still.
+ * no time that is measured with it ends early; on a VM that is suspended it may stand still. Leases are measured with a
+ * {@link LeaseClock}.
  */
 public final class SteadyClock {
     private final Clock wall;
@@ -15,11 +16,6 @@
     private final Instant start;
     private final long startNanos;
 
-    /** Creates a clock that uses the system clocks. */
-    public SteadyClock() {
-        this(Clock.systemUTC(), System::nanoTime);
-    }
-
     /**
      * Creates a clock.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/Listing.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/Listing.java
@@ -1,6 +1,7 @@
 package org.wagtaillug.directory;
 
 import java.time.Duration;
+import org.wagtaillug.clock.WallTime;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
@@ -43,4 +44,9 @@
             String version) {
         this(id, incarnation, pool, host, port, domain, leaving, remainingColdTime, version, 0);
     }
+
+    /** The time of its start by its own wall clock; 1970-01-01 if not registered. */
+    public WallTime startedAt() {
+        return new WallTime(incarnation);
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -179,7 +179,7 @@
         Upstream known = upstreams.get(id);
         return known != null
                 && known.listing().incarnation() > incarnation
-                && new WallTime(known.listing().incarnation()).isBefore(before);
+                && known.listing().startedAt().isBefore(before);
     }
 
     /** Whether an upstream may run at another version than listed, as a connection has failed since its last listing. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -9,7 +9,6 @@
 import org.wagtaillug.admission.RequestedPauses;
 import org.wagtaillug.admission.WarmupRateLimiter;
 import org.wagtaillug.clock.WallClock;
-import org.wagtaillug.clock.WallTime;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.id.NodeId;
@@ -124,7 +123,7 @@
 
     /** Handles the restart of an upstream, which may have been listed long after it. */
     void onRestarted(Listing upstream, Instant now) {
-        Instant start = wallClock.steadyTime(new WallTime(upstream.incarnation()));
+        Instant start = wallClock.steadyTime(upstream.startedAt());
         rateLimits.onRestarted(upstream.id(), start, now);
         pauses.onRestarted(upstream.id(), start);
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -45,7 +45,7 @@
             Shutdown shutdown,
             QuarantineExchange quarantine,
             FlowLog log) {
-        this.startedAt = Instant.ofEpochMilli(setup.self().incarnation());
+        this.startedAt = setup.startedAt();
         this.limits = setup.retryLimits();
         this.roster = roster;
         this.remainingTime = remainingTime;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingSetup.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingSetup.java
@@ -1,6 +1,7 @@
 package org.wagtaillug.serving;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.wagtaillug.feed.RecordDecoder;
@@ -30,6 +31,7 @@
     private final ColdBound coldBound;
     private final RolloutLimits rolloutLimits;
     private final boolean acceptsTunnels;
+    private final Instant startedAt;
 
     private static final ColdBound DEFAULT_COLD_BOUND = new ColdBound(1.5, 5);
 
@@ -57,6 +59,7 @@
         coldBound = builder.coldBound;
         rolloutLimits = builder.rolloutLimits;
         acceptsTunnels = builder.acceptsTunnels;
+        startedAt = builder.startedAt;
     }
 
     /** Creates a builder without seeds. */
@@ -119,6 +122,11 @@
         return acceptsTunnels;
     }
 
+    /** When this run of the node started; an earlier run may have served until then. */
+    public Instant startedAt() {
+        return startedAt;
+    }
+
     /** Builds a {@link ServingSetup}. */
     public static final class Builder {
         private static final Duration DEFAULT_GRACE = Duration.ofSeconds(8);
@@ -134,6 +142,7 @@
         private ColdBound coldBound = DEFAULT_COLD_BOUND;
         private RolloutLimits rolloutLimits = RolloutLimits.DEFAULT;
         private boolean acceptsTunnels;
+        private Instant startedAt = Instant.EPOCH;
 
         private Builder(NodeId self, DomainId domain, RecordDecoder decoder) {
             this.self = self;
@@ -189,6 +198,12 @@
             return this;
         }
 
+        /** Sets when this run started; if not set, no earlier run of the node is assumed to have served recently. */
+        public Builder startedAt(Instant time) {
+            startedAt = time;
+            return this;
+        }
+
         public ServingSetup build() {
             return new ServingSetup(this);
         }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/clock/MonotonicClockTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/clock/LeaseClockTest.java
@@ -11,14 +11,14 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 
-class MonotonicClockTest {
+class LeaseClockTest {
     private static final Instant START = Instant.parse("2026-12-01T08:00:00Z");
 
     private final AtomicReference<Instant> wall = new AtomicReference<>(START);
     private final AtomicLong nanos = new AtomicLong(7);
     private final InstantSource source = wall::get;
     private final Clock wallClock = source.withZone(ZoneOffset.UTC);
-    private final MonotonicClock clock = new MonotonicClock(wallClock, nanos::get);
+    private final LeaseClock clock = new LeaseClock(wallClock, nanos::get);
 
     private void advance(Duration onWall, Duration onMonotonic) {
         wall.set(wall.get().plus(onWall));
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -157,6 +157,7 @@
         failed.remove(vm);
         ServingSetup setup = ServingSetup.builder(new NodeId(vm, incarnation), NORTH, decoder())
                 .seed(node(1))
+                .startedAt(Instant.ofEpochMilli(incarnation))
                 .drainGrace(grace)
                 .acceptsTunnels(true)
                 .build();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/Daemon.java
@@ -18,7 +18,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.ssl.SslContextFactory;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
-import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.daemon.administration.AdministrationHandler;
 import org.wagtaillug.daemon.administration.PendingChanges;
 import org.wagtaillug.daemon.callers.CallersHandler;
@@ -55,7 +55,7 @@
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
 
     private final NodeSettings settings;
-    private final MonotonicClock clock = new MonotonicClock();
+    private final LeaseClock clock = new LeaseClock();
     private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, 8);
     private final NodeMetrics metrics = new NodeMetrics();
     private final DecisionLog decisions = new DecisionLog();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/EffectRunner.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/EffectRunner.java
@@ -9,7 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
-import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.daemon.administration.PendingChanges;
 import org.wagtaillug.daemon.callers.CallerExchange;
 import org.wagtaillug.daemon.callers.Exchanges;
@@ -46,7 +46,7 @@
             PendingChanges pending,
             DecisionLog decisions,
             NodeMetrics metrics,
-            MonotonicClock clock) {}
+            LeaseClock clock) {}
 
     private record StartedAttempt(Attempt attempt, Instant startedAt) {}
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
@@ -13,7 +13,7 @@
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.daemon.Json;
 import org.wagtaillug.daemon.body.BodyEnd;
 import org.wagtaillug.daemon.body.PendingBodies;
@@ -31,7 +31,7 @@
 
     private final Exchanges exchanges;
     private final Consumer<Event> events;
-    private final MonotonicClock clock;
+    private final LeaseClock clock;
     private final BooleanSupplier ready;
     private final Limits limits;
     private final PendingAnswers pendingAnswers = new PendingAnswers();
@@ -51,7 +51,7 @@
      * answers.
      */
     public CallersHandler(
-            Exchanges exchanges, Consumer<Event> events, MonotonicClock clock, BooleanSupplier ready, Limits limits) {
+            Exchanges exchanges, Consumer<Event> events, LeaseClock clock, BooleanSupplier ready, Limits limits) {
         this.exchanges = exchanges;
         this.events = events;
         this.clock = clock;
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/platform/PlatformClient.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/platform/PlatformClient.java
@@ -18,7 +18,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpMethod;
-import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.daemon.Json;
 import org.wagtaillug.health.LoadReport;
 import org.wagtaillug.id.DomainId;
@@ -45,7 +45,7 @@
     private final HttpClient client;
     private final URI log;
     private final URI vms;
-    private final MonotonicClock clock;
+    private final LeaseClock clock;
     private final Consumer<Event> events;
     private final Executor traffic;
     private final LogRecordCodec codec = new LogRecordCodec();
@@ -61,7 +61,7 @@
      * @param traffic creates and sends the requests, so that the control thread does not
      */
     public PlatformClient(
-            HttpClient client, URI log, URI vms, MonotonicClock clock, Consumer<Event> events, Executor traffic) {
+            HttpClient client, URI log, URI vms, LeaseClock clock, Consumer<Event> events, Executor traffic) {
         this.client = client;
         this.log = log;
         this.vms = vms;
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -163,6 +163,7 @@
                         settings.retryLimits().window(),
                         settings.retryLimits().ratio(),
                         settings.retryLimits().fixed()))
+                .startedAt(clock.now())
                 .drainGrace(settings.shutdownGrace())
                 .features(settings.features())
                 .capacity(settings.capacity())
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptListener.java
@@ -7,7 +7,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
-import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.dispatch.Attempt;
 import org.wagtaillug.dispatch.AttemptEnd;
 import org.wagtaillug.id.AttemptId;
@@ -23,7 +23,7 @@
 
     private final Attempt attempt;
     private final AnswerReader reader;
-    private final MonotonicClock clock;
+    private final LeaseClock clock;
     private final Consumer<Event> events;
     private final Consumer<AttemptId> onEnd;
     private volatile boolean byteLeft;
@@ -32,11 +32,7 @@
     private Instant lastProgress = Instant.EPOCH;
 
     AttemptListener(
-            Attempt attempt,
-            AnswerReader reader,
-            MonotonicClock clock,
-            Consumer<Event> events,
-            Consumer<AttemptId> onEnd) {
+            Attempt attempt, AnswerReader reader, LeaseClock clock, Consumer<Event> events, Consumer<AttemptId> onEnd) {
         this.attempt = attempt;
         this.reader = reader;
         this.clock = clock;
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/upstream/AttemptSender.java
@@ -12,7 +12,7 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
-import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.contract.StageWork;
 import org.wagtaillug.daemon.Json;
 import org.wagtaillug.daemon.callers.CallerExchange;
@@ -38,7 +38,7 @@
     private final HttpClient singleUseClient;
     private final Exchanges exchanges;
     private final Consumer<Event> events;
-    private final MonotonicClock clock;
+    private final LeaseClock clock;
     private final Executor traffic;
     private final Map<AttemptId, ActiveSend> activeSends = new ConcurrentHashMap<>();
 
@@ -77,7 +77,7 @@
             HttpClient singleUseClient,
             Exchanges exchanges,
             Consumer<Event> events,
-            MonotonicClock clock,
+            LeaseClock clock,
             Executor traffic) {
         this.pooledClient = pooledClient;
         this.singleUseClient = singleUseClient;
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/callers/CallersHandlerTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/callers/CallersHandlerTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.daemon.Json;
 import org.wagtaillug.id.AttemptId;
 import org.wagtaillug.id.RequestId;
@@ -59,7 +59,7 @@
         handler = new CallersHandler(
                 exchanges,
                 events::add,
-                new MonotonicClock(),
+                new LeaseClock(),
                 () -> true,
                 new CallersHandler.Limits(MAX_BODY_BYTES, Duration.ofMillis(300)));
         server.setHandler(handler);
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/upstream/AttemptSenderTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/upstream/AttemptSenderTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.wagtaillug.clock.MonotonicClock;
+import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.contract.Stage;
 import org.wagtaillug.contract.StageWork;
 import org.wagtaillug.daemon.callers.Exchanges;
@@ -56,7 +56,7 @@
     private static final Stage BOOK =
             Stage.builder("book").work(StageWork.CALL).pool("bookings").build();
 
-    private final MonotonicClock clock = new MonotonicClock();
+    private final LeaseClock clock = new LeaseClock();
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final Exchanges exchanges = new Exchanges();
     private final HttpClient pooledClient = new HttpClient();
