--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/RetryStormTest.java
@@ -42,9 +42,7 @@
         fleet.rejectedShare = 0.8;
         fleet.run(Duration.ofSeconds(2), SOUND_PER_SECOND, 0);
         for (int step = 0; step < steps; step++) {
-            for (int number = 1; number <= nodes; number++) {
-                fleet.stepWallClock(fleet.node(number), Duration.ofMillis(stepMillis));
-            }
+            stepAllWallClocks(fleet, nodes, Duration.ofMillis(stepMillis));
             fleet.run(Duration.ofMillis(1500), SOUND_PER_SECOND, 0);
         }
         fleet.run(CALM, SOUND_PER_SECOND, 0);
@@ -62,9 +60,7 @@
             fleet.run(Duration.ofSeconds(2), SOUND_PER_SECOND, 0);
             restartAll(fleet, nodes);
             fleet.run(Duration.ofSeconds(1), SOUND_PER_SECOND, 0);
-            for (int number = 1; number <= nodes; number++) {
-                fleet.stepWallClock(fleet.node(number), Duration.ofMillis(stepMillis));
-            }
+            stepAllWallClocks(fleet, nodes, Duration.ofMillis(stepMillis));
         }
         fleet.run(CALM, SOUND_PER_SECOND, 0);
         assertThat(fleet.arrivals.retries()).isPositive();
@@ -190,6 +186,12 @@
         return fleet;
     }
 
+    private static void stepAllWallClocks(EngineFleet fleet, int nodes, Duration step) {
+        for (int number = 1; number <= nodes; number++) {
+            fleet.stepWallClock(fleet.node(number), step);
+        }
+    }
+
     private static void restartAll(EngineFleet fleet, int nodes) {
         for (int number = 1; number <= nodes; number++) {
             fleet.kill(fleet.node(number));
