Interfaces of the features for contended upstreams

Adds what the parts share: the setting contention (off, announced, on), the switch of a node, the names of the policy features, the messages between nodes with their codec, the load report in an upstream's notice, and the view of these reports. No part decides anything yet. Messages that an earlier build cannot decode would make it close the connection, so heartbeats say whether a node supports them.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchOrder.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchOrder.java
@@ -20,6 +20,7 @@
  * @param resultBytes the approximate size of the result of one item
  * @param inputsDomain the failure domain that holds most of its inputs; empty if it has none
  * @param urgency its scheduling priority
+ * @param context what is known of its request
  */
 public record BatchOrder(
         OrderId id,
@@ -31,7 +32,8 @@
         List<String> inputs,
         long resultBytes,
         Optional<DomainId> inputsDomain,
-        Urgency urgency) {
+        Urgency urgency,
+        OrderContext context) {
     /** Makes a defensive copy of the list. */
     public BatchOrder {
         inputs = List.copyOf(inputs);
--- /dev/null
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/load/LoadView.java
@@ -0,0 +1,68 @@
+package org.wagtaillug.load;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import org.wagtaillug.id.VmId;
+
+/**
+ * The newest load report of each upstream.
+ *
+ * <p>Answers load that changes within a second: work on an upstream's VM takes several times as long for half a second. The
+ * weight of a report halves with each {@link #HALF_LIFE}. Reports only raise the expected cost of an upstream, so an upstream
+ * that reports a false load, or none, attracts no work.
+ */
+public final class LoadView {
+    /** A VM is slow for about twice this time, so an older report says little. */
+    static final Duration HALF_LIFE = Duration.ofMillis(300);
+
+    private static final double NEUTRAL = 1;
+
+    private final Map<VmId, Report> reports = new HashMap<>();
+
+    private record Report(ServerLoad load, Instant at) {}
+
+    /**
+     * Records a report.
+     *
+     * @param at when the upstream sent it; an older report than the known one is ignored
+     */
+    public void onReport(VmId upstream, ServerLoad load, Instant at) {
+        Report known = reports.get(upstream);
+        if (known == null || !at.isBefore(known.at())) {
+            reports.put(upstream, new Report(load, at));
+        }
+    }
+
+    /** How long work is expected to take, as a multiple of the usual time; 1 without a recent report, never below 1. */
+    public double slowdown(VmId upstream, Instant now) {
+        Report report = reports.get(upstream);
+        if (report == null) {
+            return NEUTRAL;
+        }
+        return NEUTRAL + Math.max(0, report.load().slowdown() - NEUTRAL) * weight(report, now);
+    }
+
+    /** The number of requests that are expected to wait for a slot; 0 without a recent report. */
+    public double waiting(VmId upstream, Instant now) {
+        Report report = reports.get(upstream);
+        return report == null ? 0 : report.load().waiting() * weight(report, now);
+    }
+
+    private static double weight(Report report, Instant now) {
+        double age = Math.max(0, Duration.between(report.at(), now).toNanos());
+        return Math.pow(0.5, age / HALF_LIFE.toNanos());
+    }
+
+    /** Forgets the report of an upstream that has restarted. */
+    public void onRestarted(VmId upstream) {
+        reports.remove(upstream);
+    }
+
+    /** Forgets the reports of all upstreams that are not listed any more. */
+    public void retain(Set<VmId> listed) {
+        reports.keySet().retainAll(listed);
+    }
+}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.wagtaillug.batch.BatchOutcome;
+import org.wagtaillug.batch.OrderContext;
 import org.wagtaillug.batch.QueueDelayEstimate;
 import org.wagtaillug.batch.StepResult;
 import org.wagtaillug.feed.FeedBatch;
@@ -13,10 +14,14 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.id.VmId;
+import org.wagtaillug.load.AttemptReport;
+import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.quarantine.QuarantineReport;
 import org.wagtaillug.rollout.RolloutSample;
+import org.wagtaillug.routing.PrefixSegment;
 import org.wagtaillug.stream.StreamOrigin;
 
 /** The messages between nodes that route by host and path. Any message may be lost. */
@@ -35,6 +40,7 @@
      * @param paths what the sender reaches, and offers to other nodes
      * @param storesStreamOrigins whether the sender answers queries for the origins of streams
      * @param quarantine what the sender knows of prompts that crash upstreams
+     * @param contention what the sender tells about the features for contended upstreams
      */
     record Heartbeat(
             boolean reply,
@@ -47,7 +53,8 @@
             List<DepartureReport> departures,
             Paths paths,
             boolean storesStreamOrigins,
-            QuarantineReport quarantine)
+            QuarantineReport quarantine,
+            ContentionReport contention)
             implements ServingMessage {
         /** Makes a defensive copy of the lists. */
         public Heartbeat {
@@ -115,6 +122,7 @@
      * @param rank the priority rank; 0 is served first
      * @param targetTimeLeft the time until the latency target; negative once it has passed
      * @param deadlineLeft the time until the deadline
+     * @param context what the sender tells about the request
      */
     record BatchRequest(
             long number,
@@ -128,7 +136,8 @@
             Optional<DomainId> inputsDomain,
             int rank,
             Duration targetTimeLeft,
-            Duration deadlineLeft)
+            Duration deadlineLeft,
+            OrderContext context)
             implements ServingMessage {}
 
     /**
@@ -136,8 +145,9 @@
      *
      * @param number the number of the order
      * @param outcome the outcome of the order
+     * @param callDuration the observed duration of a full call at the pool; empty if it is not known
      */
-    record BatchReply(long number, BatchOutcome outcome) implements ServingMessage {}
+    record BatchReply(long number, BatchOutcome outcome, Optional<Duration> callDuration) implements ServingMessage {}
 
     /**
      * Cancels an order of items.
@@ -203,4 +213,118 @@
      * @param results the results
      */
     record ResultsReleased(List<StepResult> results) implements ServingMessage {}
+
+    /**
+     * Asks the scheduler of a pool to reserve capacity for a step that the request will order later. Sent once; a request
+     * goes on without an answer.
+     *
+     * @param number unique within a run of the sender
+     * @param request the request that the step belongs to
+     * @param step the number of the step
+     * @param pool the pool
+     * @param items the number of items
+     * @param resultBytes the approximate size of one result
+     * @param rank the priority rank; 0 is served first
+     * @param arrivesIn the expected time until the step is ordered
+     * @param targetTimeLeft the time until the latency target of the step; negative once it has passed
+     * @param deadlineLeft the time until its deadline
+     * @param context what the sender tells about the request
+     */
+    record ReservationRequest(
+            long number,
+            RequestId request,
+            int step,
+            PoolId pool,
+            int items,
+            long resultBytes,
+            int rank,
+            Duration arrivesIn,
+            Duration targetTimeLeft,
+            Duration deadlineLeft,
+            OrderContext context)
+            implements ServingMessage {}
+
+    /**
+     * The response to {@link ReservationRequest}.
+     *
+     * @param number the number of the reservation
+     * @param granted whether the capacity is reserved
+     * @param retryAfter the time after which the pool will have capacity; zero if the reservation is granted
+     * @param callDuration the observed duration of a full call at the pool; empty if it is not known
+     */
+    record ReservationReply(long number, boolean granted, Duration retryAfter, Optional<Duration> callDuration)
+            implements ServingMessage {}
+
+    /**
+     * Cancels reservations, and tells of requests that have ended.
+     *
+     * @param numbers the numbers of the reservations
+     */
+    record ReservationCancellation(List<Long> numbers) implements ServingMessage {
+        /** Makes a defensive copy of the list. */
+        public ReservationCancellation {
+            numbers = List.copyOf(numbers);
+        }
+    }
+
+    /**
+     * Asks the node that assigns the engines of a pool for the engine of a request.
+     *
+     * @param number unique within a run of the sender
+     * @param request the request
+     * @param pool the pool
+     * @param segments the segments of its prompt that other requests may share, in order
+     * @param promptTokens the length of the whole prompt
+     * @param outputTokens the maximum number of tokens of the answer; 0 if unknown
+     * @param rank the priority rank; 0 is served first
+     * @param inputsDomain the failure domain that holds most of its inputs
+     * @param inputBytes the size of its inputs
+     * @param excluded the engines that must not get it
+     * @param deadlineLeft the time until its deadline
+     */
+    record AssignmentRequest(
+            long number,
+            RequestId request,
+            PoolId pool,
+            List<PrefixSegment> segments,
+            int promptTokens,
+            int outputTokens,
+            int rank,
+            Optional<DomainId> inputsDomain,
+            long inputBytes,
+            Set<VmId> excluded,
+            Duration deadlineLeft)
+            implements ServingMessage {
+        /** Makes defensive copies of the collections. */
+        public AssignmentRequest {
+            segments = List.copyOf(segments);
+            excluded = Set.copyOf(excluded);
+        }
+    }
+
+    /**
+     * The response to {@link AssignmentRequest}.
+     *
+     * @param number the number of the request
+     * @param engines the engines in order of preference; empty if the sender knows none
+     */
+    record AssignmentReply(long number, List<VmId> engines) implements ServingMessage {
+        /** Makes a defensive copy of the list. */
+        public AssignmentReply {
+            engines = List.copyOf(engines);
+        }
+    }
+
+    /**
+     * Tells the node that assigns the engines of a pool what became of attempts.
+     *
+     * @param pool the pool
+     * @param attempts the attempts, in the order of the changes
+     */
+    record AssignmentUpdate(PoolId pool, List<AttemptReport> attempts) implements ServingMessage {
+        /** Makes a defensive copy of the list. */
+        public AssignmentUpdate {
+            attempts = List.copyOf(attempts);
+        }
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
@@ -1,7 +1,9 @@
 package org.wagtaillug.notice;
 
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalDouble;
+import org.wagtaillug.load.ServerLoad;
 
 /**
  * What an upstream announces about itself in the headers of an answer.
@@ -11,8 +13,14 @@
  * @param pause how long this node should send it nothing after this refusal; zero if it names no time
  * @param maxRejections the requests per second that each upstream of its pool can reject for lack of room without
  *     failing; empty if the pool is not brittle
+ * @param load its load, with the time that work takes on its VM; empty if it does not report that time
  */
-public record UpstreamNotice(OptionalDouble rateLimit, boolean leaving, Duration pause, OptionalDouble maxRejections) {
+public record UpstreamNotice(
+        OptionalDouble rateLimit,
+        boolean leaving,
+        Duration pause,
+        OptionalDouble maxRejections,
+        Optional<ServerLoad> load) {
     /** The notice of an upstream that announces nothing. */
     public static final UpstreamNotice NONE = builder().build();
 
@@ -27,6 +35,7 @@
         private boolean leaving;
         private Duration pause = Duration.ZERO;
         private OptionalDouble maxRejections = OptionalDouble.empty();
+        private Optional<ServerLoad> load = Optional.empty();
 
         private Builder() {}
 
@@ -54,8 +63,14 @@
             return this;
         }
 
+        /** Sets the load that the upstream reports together with the time that work takes on its VM. */
+        public Builder load(ServerLoad reported) {
+            load = Optional.of(reported);
+            return this;
+        }
+
         public UpstreamNotice build() {
-            return new UpstreamNotice(rateLimit, leaving, pause, maxRejections);
+            return new UpstreamNotice(rateLimit, leaving, pause, maxRejections, load);
         }
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Duty.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Duty.java
@@ -25,7 +25,9 @@
         /** It answers queries for the origins of streams. */
         STREAM_ORIGINS,
         /** It reports which prompts crash upstreams. */
-        QUARANTINE
+        QUARANTINE,
+        /** It processes the messages of the features for contended upstreams. */
+        CONTENTION
     }
 
     /** Makes defensive copies of the collections. */
@@ -73,4 +75,9 @@
     public static Duty ofQuarantineWriter(List<VmId> ranking) {
         return new Duty(ranking, 1, Optional.empty(), EnumSet.of(Requirement.QUARANTINE, Requirement.STORE));
     }
+
+    /** Creates the duty to assign the engines of a pool. */
+    public static Duty ofAssignment(List<VmId> ranking, PoolId pool) {
+        return new Duty(ranking, 1, Optional.of(pool), Set.of(Requirement.CONTENTION));
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -82,6 +82,7 @@
         private boolean storeLost;
         private boolean storesStreamOrigins;
         private boolean quarantines;
+        private boolean supportsContention;
         private Paths paths = Paths.ALL_REACHABLE;
         private Map<FeedName, Long> positions = Map.of();
         private List<QueueDelayEstimate> waits = List.of();
@@ -128,6 +129,7 @@
         peer.storeLost = heartbeat.storeLost();
         peer.storesStreamOrigins = heartbeat.storesStreamOrigins();
         peer.quarantines = heartbeat.quarantine().supported();
+        peer.supportsContention = heartbeat.contention().supported();
         peer.paths = heartbeat.paths();
         peer.positions = heartbeat.positions();
         peer.waits = heartbeat.waits();
@@ -191,6 +193,7 @@
                         case TUNNELS -> peer.paths.acceptsTunnels();
                         case STREAM_ORIGINS -> peer.storesStreamOrigins;
                         case QUARANTINE -> peer.quarantines;
+                        case CONTENTION -> peer.supportsContention;
                     };
             if (!met) {
                 return false;
@@ -206,6 +209,12 @@
                 : peers.containsKey(id) && peers.get(id).paths.unreachable().contains(pool);
     }
 
+    /** Whether a peer processes the messages of the features for contended upstreams; false if none of its heartbeats arrived. */
+    public boolean supportsContention(VmId id) {
+        Peer peer = peers.get(id);
+        return peer != null && peer.supportsContention;
+    }
+
     /** The peers that are up. */
     public List<VmId> upPeers(Instant now) {
         List<VmId> found = new ArrayList<>();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/policy/PolicyFeature.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/policy/PolicyFeature.java
@@ -34,5 +34,21 @@
     /** A branch of steps starts just in time for the join; if off, immediately. */
     TIMELY_BRANCHES,
     /** The latency target of a step is derived from recent engine times; if off, from a fixed speed. */
-    OBSERVED_ENGINES
+    OBSERVED_ENGINES,
+    /** What upstreams report of their load raises their expected cost. Takes effect only under contention. */
+    LOAD_VIEW,
+    /** One node chooses the engines of a pool for the requests of all nodes. Takes effect only under contention. */
+    SHARED_ASSIGNMENT,
+    /** A request is admitted only if the pools of all of its steps grant it a reservation. Takes effect only under contention. */
+    PATH_RESERVATIONS,
+    /** Estimates use observed durations of calls instead of the configured ones. Takes effect only under contention. */
+    OBSERVED_CALLS,
+    /** Customers share a pool that has less capacity than is asked for. Takes effect only under contention. */
+    FAIR_SHARES,
+    /** Engines are told the priorities of requests. Takes effect only under contention. */
+    ENGINE_PRIORITIES,
+    /** Refused callers get a place in the schedule of the pool that refused them. Takes effect only under contention. */
+    KEPT_PLACES,
+    /** Bounds what this node holds for callers and upstreams that read slowly. Takes effect only under contention. */
+    READER_LIMITS
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowSteps.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowSteps.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.wagtaillug.batch.BatchOrder;
 import org.wagtaillug.batch.BatchOutcome;
+import org.wagtaillug.batch.OrderContext;
 import org.wagtaillug.batch.OrderId;
 import org.wagtaillug.batch.StepResult;
 import org.wagtaillug.directory.UpstreamDirectory;
@@ -103,7 +104,8 @@
                         inputs,
                         step.resultBytes(),
                         preferredDomain(flow, step, now),
-                        times.urgency(flow, step, configuration, now)),
+                        times.urgency(flow, step, configuration, now),
+                        OrderContext.NONE),
                 contract.get(),
                 now);
         return true;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -20,6 +20,7 @@
 import org.wagtaillug.notice.RateLimitReport;
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.peer.Roster;
+import org.wagtaillug.policy.ContentionSwitch;
 import org.wagtaillug.routing.UpstreamLimits;
 import org.wagtaillug.routing.UpstreamLimits.ColdBound;
 
@@ -27,12 +28,19 @@
 final class NoticeExchange {
     private final UpstreamDirectory directory;
     private final WallClock wallClock;
+    private final ContentionSwitch contention;
     private final Consumer<ServingEffect> effects;
     private final AnnouncedRateLimits rateLimits = new AnnouncedRateLimits();
     private final RequestedPauses pauses = new RequestedPauses();
     private final BrittlePools brittlePools;
 
-    NoticeExchange(UpstreamDirectory directory, Roster roster, WallClock wallClock, Consumer<ServingEffect> effects) {
+    NoticeExchange(
+            UpstreamDirectory directory,
+            Roster roster,
+            WallClock wallClock,
+            ContentionSwitch contention,
+            Consumer<ServingEffect> effects) {
+        this.contention = contention;
         this.directory = directory;
         this.wallClock = wallClock;
         this.brittlePools = new BrittlePools(roster, wallClock);
@@ -66,6 +74,9 @@
      */
     void onAnswer(Listing upstream, UpstreamNotice notice, boolean successful, Instant sentAt, Instant now) {
         VmId id = upstream.id();
+        if (notice.load().isPresent() && contention.onAnnounced()) {
+            log(Decision.builder("contention").field("source", id));
+        }
         if (rateLimits.onAnswer(id, notice.rateLimit(), successful, sentAt, now)) {
             log(rateLimit(id, notice.rateLimit()).field("source", "answer"));
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
@@ -22,6 +22,7 @@
  * @param itemKey input of steps without predecessors
  * @param promptSegments segments of the prompt, in order; empty if there is none
  * @param promptTokens length of the prompt, 0 if there is none
+ * @param maxOutputTokens the maximum number of tokens of the answer; 0 if unknown
  * @param resumption the interrupted stream that the caller takes up; empty if it begins a new one
  */
 public record RoutedRequest(
@@ -34,6 +35,7 @@
         Optional<String> itemKey,
         List<PrefixSegment> promptSegments,
         int promptTokens,
+        int maxOutputTokens,
         Optional<Resumption> resumption) {
     private static final int MAX_SHARED_SEGMENTS = 64;
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -17,10 +17,12 @@
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.peer.Peers;
 import org.wagtaillug.peer.Roster;
+import org.wagtaillug.policy.ContentionSwitch;
 import org.wagtaillug.result.Refusal;
 import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.route.BatchContract;
@@ -61,6 +63,7 @@
     private final UpstreamDirectory directory = new UpstreamDirectory();
     private final UpstreamHealth health = new UpstreamHealth();
     private final WallClock wallClock = new WallClock();
+    private final ContentionSwitch contention;
     private final Peers peers;
     private final PeerMembership membership;
     private final FeedExchange feeds;
@@ -80,6 +83,7 @@
     /** Creates a node that has read no feed yet. */
     public Serving(ServingSetup setup) {
         this.setup = setup;
+        contention = new ContentionSwitch(setup.contention(), setup.features());
         Roster roster = new Roster(setup.self().vm());
         peers = new Peers(setup.self().vm(), setup.seeds(), roster);
         shutdown = new Shutdown(setup.drainGrace());
@@ -87,7 +91,7 @@
         feeds = new FeedExchange(peers, effects::add, this::onFeedRecord);
         feeds.onRestored(this::onStoreRestored);
         rollouts = new RolloutExchange(setup, directory, effects::add);
-        notices = new NoticeExchange(directory, roster, wallClock, effects::add);
+        notices = new NoticeExchange(directory, roster, wallClock, contention, effects::add);
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
         orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
@@ -100,7 +104,8 @@
                         health,
                         paths,
                         wallClock,
-                        time -> feeds.confirm(FeedName.DIRECTORY, time, currentTime)),
+                        time -> feeds.confirm(FeedName.DIRECTORY, time, currentTime),
+                        contention),
                 roster,
                 orders,
                 new Exchanges(rollouts, notices, streams, quarantine),
@@ -304,7 +309,8 @@
                 directory.departures(now),
                 paths.report(),
                 true,
-                quarantine.report(now));
+                quarantine.report(now),
+                new ContentionReport(true, contention.announced()));
     }
 
     private void onPeerMessage(NodeId sender, ServingMessage message, Instant now) {
@@ -312,6 +318,9 @@
             case ServingMessage.Heartbeat heartbeat -> {
                 notices.onHeartbeat(sender, heartbeat, now);
                 quarantine.onReport(sender, heartbeat.quarantine(), now);
+                if (heartbeat.contention().announced()) {
+                    onContentionAnnounced(sender);
+                }
                 if (membership.onHeartbeat(sender, heartbeat, reply -> heartbeat(reply, now), now)) {
                     orders.onPeerRestarted(sender.vm(), now);
                     streams.onPeerRestarted(sender.vm());
@@ -335,6 +344,19 @@
                 flows.onStreamsAnswered(now);
             }
             case ServingMessage.ResultsReleased released -> orders.scheduler().onReleased(released.results());
+            case ServingMessage.ReservationRequest ignored -> {}
+            case ServingMessage.ReservationReply ignored -> {}
+            case ServingMessage.ReservationCancellation ignored -> {}
+            case ServingMessage.AssignmentRequest ignored -> {}
+            case ServingMessage.AssignmentReply ignored -> {}
+            case ServingMessage.AssignmentUpdate ignored -> {}
+        }
+    }
+
+    /** An upstream has announced to another node how long its work takes. */
+    private void onContentionAnnounced(Object source) {
+        if (contention.onAnnounced()) {
+            log(Decision.builder("contention").field("source", source));
         }
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingSetup.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingSetup.java
@@ -8,6 +8,7 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.policy.Contention;
 import org.wagtaillug.policy.PolicyFeatures;
 import org.wagtaillug.rollout.RolloutLimits;
 import org.wagtaillug.routing.UpstreamLimits.ColdBound;
@@ -31,6 +32,7 @@
     private final ColdBound coldBound;
     private final RolloutLimits rolloutLimits;
     private final boolean acceptsTunnels;
+    private final Contention contention;
     private final Instant startedAt;
 
     private static final ColdBound DEFAULT_COLD_BOUND = new ColdBound(1.5, 5);
@@ -59,6 +61,7 @@
         coldBound = builder.coldBound;
         rolloutLimits = builder.rolloutLimits;
         acceptsTunnels = builder.acceptsTunnels;
+        contention = builder.contention;
         startedAt = builder.startedAt;
     }
 
@@ -122,6 +125,11 @@
         return acceptsTunnels;
     }
 
+    /** When the policy features for contended or uneven upstreams take effect. */
+    public Contention contention() {
+        return contention;
+    }
+
     /** When this run of the node started; an earlier run may have served until then. */
     public Instant startedAt() {
         return startedAt;
@@ -142,6 +150,7 @@
         private ColdBound coldBound = DEFAULT_COLD_BOUND;
         private RolloutLimits rolloutLimits = RolloutLimits.DEFAULT;
         private boolean acceptsTunnels;
+        private Contention contention = Contention.ANNOUNCED;
         private Instant startedAt = Instant.EPOCH;
 
         private Builder(NodeId self, DomainId domain, RecordDecoder decoder) {
@@ -198,6 +207,12 @@
             return this;
         }
 
+        /** Sets when the policy features for contended or uneven upstreams take effect. */
+        public Builder contention(Contention when) {
+            contention = when;
+            return this;
+        }
+
         /** Sets when this run started; if not set, no earlier run of the node is assumed to have served recently. */
         public Builder startedAt(Instant time) {
             startedAt = time;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -159,7 +160,8 @@
                         order.inputsDomain(),
                         order.urgency().rank(),
                         Duration.between(now, order.urgency().targetTime()),
-                        Duration.between(now, order.urgency().deadline()))));
+                        Duration.between(now, order.urgency().deadline()),
+                        order.context())));
     }
 
     /** Withdraws the orders of a request that has ended. */
@@ -207,7 +209,8 @@
                 request.inputs(),
                 request.resultBytes(),
                 request.inputsDomain(),
-                urgency);
+                urgency,
+                request.context());
         scheduler.onOrder(order, contract, now);
     }
 
@@ -326,7 +329,7 @@
                 return;
             }
             effects.accept(new ServingEffect.SendToPeer(
-                    origin.vm(), new ServingMessage.BatchReply(order.id().number(), outcome)));
+                    origin.vm(), new ServingMessage.BatchReply(order.id().number(), outcome, Optional.empty())));
         }
 
         @Override
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamState.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamState.java
@@ -5,6 +5,7 @@
 import org.wagtaillug.clock.WallClock;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.health.UpstreamHealth;
+import org.wagtaillug.policy.ContentionSwitch;
 
 /**
  * What a node knows of the upstreams.
@@ -14,10 +15,12 @@
  * @param paths how requests get to them
  * @param wallClock compares this node's time with the start times of upstreams
  * @param directoryConfirmation tells whether the directory contains all entries from before a time
+ * @param contention whether the policy features for contended upstreams are in effect
  */
 record UpstreamState(
         UpstreamDirectory directory,
         UpstreamHealth health,
         UpstreamPaths paths,
         WallClock wallClock,
-        Function<Instant, FeedExchange.Confirmation> directoryConfirmation) {}
+        Function<Instant, FeedExchange.Confirmation> directoryConfirmation,
+        ContentionSwitch contention) {}
--- a/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerRandomTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerRandomTest.java
@@ -125,7 +125,8 @@
                             List.of(),
                             itemBytes,
                             Optional.empty(),
-                            new BatchOrder.Urgency(rank, targetTime, targetTime.plusSeconds(5))),
+                            new BatchOrder.Urgency(rank, targetTime, targetTime.plusSeconds(5)),
+                            OrderContext.NONE),
                     contract,
                     now);
         }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerTest.java
@@ -84,7 +84,8 @@
                         new BatchOrder.Urgency(
                                 rank,
                                 now.plus(latencyTarget),
-                                now.plus(latencyTarget).plusSeconds(4))),
+                                now.plus(latencyTarget).plusSeconds(4)),
+                        OrderContext.NONE),
                 CONTRACT,
                 now);
         return lastNumber;
--- a/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/peer/PeersTest.java
@@ -14,6 +14,7 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.message.ServingMessage.Heartbeat;
 import org.wagtaillug.message.ServingMessage.Paths;
 import org.wagtaillug.quarantine.QuarantineReport;
@@ -83,7 +84,8 @@
                 List.of(),
                 Paths.ALL_REACHABLE,
                 true,
-                QuarantineReport.UNSUPPORTED);
+                QuarantineReport.UNSUPPORTED,
+                ContentionReport.UNSUPPORTED);
         nodes.get(receiver).onHeartbeat(new NodeId(sender, 1), heartbeat, now);
         if (!reply && !nodes.get(receiver).watches(sender)) {
             deliver(receiver, sender, true);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/AnnouncingFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/AnnouncingFleet.java
@@ -241,8 +241,8 @@
                 end = new SendEnd.NotRun(503);
                 openPauses.putIfAbsent(link, new Pause(world.now.plus(NOTICE_TIME), world.now.plus(pause)));
             }
-            UpstreamNotice notice =
-                    new UpstreamNotice(limit, leaving.contains(upstream), pause, OptionalDouble.empty());
+            UpstreamNotice notice = new UpstreamNotice(
+                    limit, leaving.contains(upstream), pause, OptionalDouble.empty(), Optional.empty());
             world.handle(
                     answer.node(),
                     new ServingEvent.SendEnded(
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/BranchTimingTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/BranchTimingTest.java
@@ -44,6 +44,7 @@
                 Optional.of("key"),
                 List.of(),
                 1000,
+                0,
                 Optional.empty());
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/LoadWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/LoadWorld.java
@@ -329,6 +329,7 @@
                 Optional.of("key"),
                 List.of(),
                 kind.tokens,
+                0,
                 Optional.empty())));
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/PathEstimateTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/PathEstimateTest.java
@@ -59,6 +59,7 @@
                 Optional.of("key"),
                 List.of(),
                 1000,
+                0,
                 Optional.empty());
         Flow flow = new Flow(request, ROUTE, Optional.empty(), 0, NOW);
         return pathEstimate.estimate(
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -39,6 +39,7 @@
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.RouteId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.quarantine.QuarantineReport;
@@ -388,6 +389,7 @@
                         Optional.of("piece-key"),
                         prompt,
                         1000,
+                        0,
                         resumption)));
     }
 
@@ -473,7 +475,8 @@
                 heartbeat.departures(),
                 heartbeat.paths(),
                 false,
-                QuarantineReport.UNSUPPORTED);
+                QuarantineReport.UNSUPPORTED,
+                ContentionReport.UNSUPPORTED);
     }
 
     private Duration delay(ServingEffect.SendToPeer send) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -170,6 +170,7 @@
                 .startedAt(clock.now())
                 .drainGrace(settings.shutdownGrace())
                 .features(settings.features())
+                .contention(settings.contention())
                 .capacity(settings.capacity())
                 .acceptsTunnels(settings.listeners().tunnels().isPresent())
                 .rolloutLimits(settings.rolloutLimits())
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RoutedExchangeTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RoutedExchangeTest.java
@@ -36,6 +36,7 @@
                 Optional.empty(),
                 List.of(),
                 0,
+                0,
                 Optional.empty());
     }
 
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RoutedExchangeThreadsTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RoutedExchangeThreadsTest.java
@@ -76,6 +76,7 @@
                 Optional.empty(),
                 List.of(),
                 0,
+                0,
                 Optional.empty());
         return new RoutedExchange(
                 routed,
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/PeerMessageCodec.java
@@ -86,7 +86,13 @@
                     ROLLOUT_REPORT,
                     STREAMS_BEGAN,
                     STREAM_QUERY,
-                    STREAM_REPLY -> Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
+                    STREAM_REPLY,
+                    RESERVATION_REQUEST,
+                    RESERVATION_REPLY,
+                    RESERVATION_CANCELLATION,
+                    ASSIGNMENT_REQUEST,
+                    ASSIGNMENT_REPLY,
+                    ASSIGNMENT_UPDATE -> Either.right(new Envelope(sender, receiver, ServingCodec.decode(message)));
             case KIND_NOT_SET -> Either.left("the message of " + sender + " has a kind unknown to this version");
         };
     }
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.wagtaillug.batch.BatchOutcome;
+import org.wagtaillug.batch.OrderContext;
 import org.wagtaillug.batch.QueueDelayEstimate;
 import org.wagtaillug.batch.StepResult;
 import org.wagtaillug.directory.VersionKey;
@@ -20,6 +21,7 @@
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.link.generated.ContentionReportMessage;
 import org.wagtaillug.link.generated.DepartureMessage;
 import org.wagtaillug.link.generated.EnvelopeMessage;
 import org.wagtaillug.link.generated.FeedAskMessage;
@@ -34,6 +36,7 @@
 import org.wagtaillug.link.generated.PiecesWithdrawnMessage;
 import org.wagtaillug.link.generated.PoolWaitMessage;
 import org.wagtaillug.link.generated.RateLimitMessage;
+import org.wagtaillug.link.generated.ReservationCancellationMessage;
 import org.wagtaillug.link.generated.ResultsReleasedMessage;
 import org.wagtaillug.link.generated.RolloutReportMessage;
 import org.wagtaillug.link.generated.RolloutSampleMessage;
@@ -42,6 +45,7 @@
 import org.wagtaillug.link.generated.StreamQueryMessage;
 import org.wagtaillug.link.generated.StreamReplyMessage;
 import org.wagtaillug.link.generated.StreamsBeganMessage;
+import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
@@ -79,6 +83,16 @@
             case ServingMessage.ResultsReleased released ->
                 envelope.setResultsReleased(
                         ResultsReleasedMessage.newBuilder().addAllResults(encode(released.results())));
+            case ServingMessage.ReservationRequest request ->
+                envelope.setReservationRequest(ContentionCodec.encode(request));
+            case ServingMessage.ReservationReply reply -> envelope.setReservationReply(ContentionCodec.encode(reply));
+            case ServingMessage.ReservationCancellation cancellation ->
+                envelope.setReservationCancellation(
+                        ReservationCancellationMessage.newBuilder().addAllNumbers(cancellation.numbers()));
+            case ServingMessage.AssignmentRequest request ->
+                envelope.setAssignmentRequest(ContentionCodec.encode(request));
+            case ServingMessage.AssignmentReply reply -> envelope.setAssignmentReply(ContentionCodec.encode(reply));
+            case ServingMessage.AssignmentUpdate update -> envelope.setAssignmentUpdate(ContentionCodec.encode(update));
         }
     }
 
@@ -115,6 +129,14 @@
                 new ServingMessage.StreamReply(
                         decodeOrigins(envelope.getStreamReply().getKnownList()),
                         decodeIds(envelope.getStreamReply().getUnknownList()));
+            case RESERVATION_REQUEST -> ContentionCodec.decode(envelope.getReservationRequest());
+            case RESERVATION_REPLY -> ContentionCodec.decode(envelope.getReservationReply());
+            case RESERVATION_CANCELLATION ->
+                new ServingMessage.ReservationCancellation(
+                        envelope.getReservationCancellation().getNumbersList());
+            case ASSIGNMENT_REQUEST -> ContentionCodec.decode(envelope.getAssignmentRequest());
+            case ASSIGNMENT_REPLY -> ContentionCodec.decode(envelope.getAssignmentReply());
+            case ASSIGNMENT_UPDATE -> ContentionCodec.decode(envelope.getAssignmentUpdate());
             default -> throw new IllegalArgumentException("not a serving message: " + envelope.getKindCase());
         };
     }
@@ -143,6 +165,10 @@
                         .setLatestStartMillis(report.latestStart())
                         .setAgeMillis(report.age().toMillis())));
         heartbeat.paths().unreachable().forEach(pool -> message.addUnreachablePools(pool.value()));
+        if (heartbeat.contention().supported()) {
+            message.setContention(ContentionReportMessage.newBuilder()
+                    .setAnnounced(heartbeat.contention().announced()));
+        }
         return message.setAcceptsTunnels(heartbeat.paths().acceptsTunnels())
                 .setStoresStreamOrigins(heartbeat.storesStreamOrigins())
                 .setQuarantine(QuarantineCodec.encode(heartbeat.quarantine()))
@@ -244,7 +270,10 @@
                 message.getStoresStreamOrigins(),
                 message.hasQuarantine()
                         ? QuarantineCodec.decode(message.getQuarantine())
-                        : QuarantineReport.UNSUPPORTED);
+                        : QuarantineReport.UNSUPPORTED,
+                message.hasContention()
+                        ? new ContentionReport(true, message.getContention().getAnnounced())
+                        : ContentionReport.UNSUPPORTED);
     }
 
     private static ServingMessage.Paths decodePaths(HeartbeatMessage message) {
@@ -367,6 +396,9 @@
                 .setDeadlineLeft(request.deadlineLeft().toMillis());
         request.key().ifPresent(message::setKey);
         request.inputsDomain().ifPresent(domain -> message.setNear(domain.value()));
+        if (!request.context().equals(OrderContext.NONE)) {
+            message.setContext(ContentionCodec.encode(request.context()));
+        }
         return message.build();
     }
 
@@ -383,7 +415,8 @@
                 message.hasNear() ? Optional.of(new DomainId(message.getNear())) : Optional.empty(),
                 message.getRank(),
                 Duration.ofMillis(message.getAimLeft()),
-                Duration.ofMillis(message.getDeadlineLeft()));
+                Duration.ofMillis(message.getDeadlineLeft()),
+                message.hasContext() ? ContentionCodec.decode(message.getContext()) : OrderContext.NONE);
     }
 
     private static PiecesAnsweredMessage encode(ServingMessage.BatchReply reply) {
@@ -395,6 +428,7 @@
                 message.setNotMade(encode(notMade.reason()))
                         .setRetryAfter(notMade.retryAfter().toMillis());
         }
+        reply.callDuration().ifPresent(duration -> message.setCallDurationMillis(duration.toMillis()));
         return message.build();
     }
 
@@ -402,7 +436,10 @@
         BatchOutcome outcome = message.getNotMade() == NotMadeReasonMessage.NOT_MADE_UNSPECIFIED
                 ? new BatchOutcome.Made(decode(message.getResultsList()))
                 : new BatchOutcome.NotMade(decode(message.getNotMade()), Duration.ofMillis(message.getRetryAfter()));
-        return new ServingMessage.BatchReply(message.getNumber(), outcome);
+        Optional<Duration> callDuration = message.hasCallDurationMillis()
+                ? Optional.of(Duration.ofMillis(message.getCallDurationMillis()))
+                : Optional.empty();
+        return new ServingMessage.BatchReply(message.getNumber(), outcome, callDuration);
     }
 
     private static NotMadeReasonMessage encode(BatchOutcome.Reason reason) {
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -11,18 +11,23 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.wagtaillug.batch.BatchOutcome;
+import org.wagtaillug.batch.OrderContext;
 import org.wagtaillug.batch.QueueDelayEstimate;
 import org.wagtaillug.batch.StepResult;
 import org.wagtaillug.directory.VersionKey;
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedRecord;
+import org.wagtaillug.id.CustomerId;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.SegmentId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.load.AttemptReport;
+import org.wagtaillug.load.ContentionReport;
+import org.wagtaillug.load.ServerLoad;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.DepartureReport;
 import org.wagtaillug.notice.RateLimitReport;
@@ -31,6 +36,7 @@
 import org.wagtaillug.quarantine.QuarantineEntry;
 import org.wagtaillug.quarantine.QuarantineReport;
 import org.wagtaillug.quarantine.UpstreamRun;
+import org.wagtaillug.routing.PrefixSegment;
 import org.wagtaillug.stream.StreamOrigin;
 
 class ServingCodecTest {
@@ -42,6 +48,8 @@
             Duration.ofSeconds(9));
     private static final StreamOrigin UNSENT = new StreamOrigin(
             new RequestId("r-3"), new PoolId("model"), VersionKey.of(""), Optional.empty(), Duration.ofSeconds(2));
+    private static final OrderContext CONTEXT =
+            new OrderContext(Optional.of(new CustomerId("bozi")), Optional.of(new SegmentId("content:5c1e")), 2);
     private static final StepResult RESULT = new StepResult("10.1.64.7:8080/91bd", new VmId("i-1"));
 
     static List<ServingMessage> messages() {
@@ -83,7 +91,8 @@
                                 List.of(new CompletionReport(
                                         new SegmentId("e440"),
                                         new UpstreamRun(new VmId("i-2"), 7),
-                                        Duration.ofMillis(20))))),
+                                        Duration.ofMillis(20)))),
+                        new ContentionReport(true, true)),
                 new ServingMessage.StreamsBegan(List.of(ORIGIN, UNSENT)),
                 new ServingMessage.StreamQuery(List.of(new RequestId("r-1"), new RequestId("r-2"))),
                 new ServingMessage.StreamReply(List.of(ORIGIN), List.of(new RequestId("r-2"))),
@@ -108,16 +117,74 @@
                         Optional.of(new DomainId("north")),
                         3,
                         Duration.ofMillis(-20),
-                        Duration.ofMillis(900)),
-                new ServingMessage.BatchReply(4, new BatchOutcome.Made(List.of(RESULT))),
+                        Duration.ofMillis(900),
+                        CONTEXT),
+                new ServingMessage.BatchReply(4, new BatchOutcome.Made(List.of(RESULT)), Optional.empty()),
                 new ServingMessage.BatchReply(
-                        4, new BatchOutcome.NotMade(BatchOutcome.Reason.OVERLOADED, Duration.ofMillis(300))),
+                        4,
+                        new BatchOutcome.NotMade(BatchOutcome.Reason.OVERLOADED, Duration.ofMillis(300)),
+                        Optional.of(Duration.ofMillis(340))),
                 new ServingMessage.BatchCancellation(4),
                 new ServingMessage.ResultsReleased(List.of(RESULT)));
     }
 
+    static List<ServingMessage> contentionMessages() {
+        return List.of(
+                new ServingMessage.ReservationRequest(
+                        5,
+                        new RequestId("r"),
+                        3,
+                        new PoolId("rerank"),
+                        16,
+                        6_000,
+                        1,
+                        Duration.ofMillis(400),
+                        Duration.ofMillis(-5),
+                        Duration.ofMillis(2_000),
+                        CONTEXT),
+                new ServingMessage.ReservationReply(5, false, Duration.ofMillis(700), Optional.empty()),
+                new ServingMessage.ReservationReply(6, true, Duration.ZERO, Optional.of(Duration.ofMillis(340))),
+                new ServingMessage.ReservationCancellation(List.of(5L, 6L)),
+                new ServingMessage.AssignmentRequest(
+                        7,
+                        new RequestId("r"),
+                        new PoolId("model"),
+                        List.of(new PrefixSegment("5c1e", 2_500), new PrefixSegment("91bd", 3_800)),
+                        9_100,
+                        80,
+                        2,
+                        Optional.of(new DomainId("north")),
+                        3_000_000,
+                        Set.of(new VmId("i-4")),
+                        Duration.ofSeconds(4)),
+                new ServingMessage.AssignmentReply(7, List.of(new VmId("i-1"), new VmId("i-2"))),
+                new ServingMessage.AssignmentUpdate(
+                        new PoolId("model"),
+                        List.of(
+                                new AttemptReport(
+                                        new RequestId("r"),
+                                        1,
+                                        new VmId("i-1"),
+                                        AttemptReport.State.SENT,
+                                        List.of(new PrefixSegment("5c1e", 2_500)),
+                                        9_100,
+                                        80,
+                                        Duration.ofSeconds(4),
+                                        Optional.empty()),
+                                new AttemptReport(
+                                        new RequestId("r"),
+                                        1,
+                                        new VmId("i-1"),
+                                        AttemptReport.State.ANSWERING,
+                                        List.of(),
+                                        0,
+                                        0,
+                                        Duration.ZERO,
+                                        Optional.of(new ServerLoad(12, 3, 32, 2.5))))));
+    }
+
     @ParameterizedTest
-    @MethodSource("messages")
+    @MethodSource({"messages", "contentionMessages"})
     void messageRoundTrips(ServingMessage message) {
         PeerMessageCodec codec = new PeerMessageCodec();
         NodeId sender = new NodeId(new VmId("10.1.0.41"), 5);
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettings.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettings.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.policy.Contention;
 import org.wagtaillug.policy.PolicyFeatures;
 import org.wagtaillug.rollout.RolloutLimits;
 
@@ -25,6 +26,8 @@
  * @param capacity the capacity of its processor, in cores of the slowest kind
  * @param coldBound the limit on requests to a cold upstream, from all nodes together
  * @param rolloutLimits the limit on requests to a candidate version, from all nodes together
+ * @param contention when the policy features for contended or uneven upstreams take effect
+ * @param agreements the names of agreements with the operator of the platform, whose meaning its adapter knows
  */
 public record RoutedSettings(
         Identity node,
@@ -36,10 +39,30 @@
         PolicyFeatures features,
         double capacity,
         ColdBound coldBound,
-        RolloutLimits rolloutLimits) {
-    /** Copies the seeds. */
+        RolloutLimits rolloutLimits,
+        Contention contention,
+        List<String> agreements) {
+    /** Copies the lists. */
     public RoutedSettings {
         seeds = List.copyOf(seeds);
+        agreements = List.copyOf(agreements);
+    }
+
+    /** Returns the same settings, with another value for when the policy features for contended upstreams take effect. */
+    public RoutedSettings withContention(Contention when) {
+        return new RoutedSettings(
+                node,
+                listeners,
+                store,
+                seeds,
+                retryLimits,
+                shutdownGrace,
+                features,
+                capacity,
+                coldBound,
+                rolloutLimits,
+                when,
+                agreements);
     }
 
     /**
--- a/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettingsReader.java
+++ b/wagtaillug-settings/src/main/java/org/wagtaillug/settings/RoutedSettingsReader.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.policy.Contention;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
 import org.wagtaillug.rollout.RolloutLimits;
@@ -33,6 +34,8 @@
                             "cold_upstreams",
                             "rollouts",
                             "shutdown_grace",
+                            "contention",
+                            "agreements",
                             "without"),
             "node", List.of("vm", "name", "domain"),
             "listen", List.of("callers", "readiness", "administration", "link", "tunnels"),
@@ -95,6 +98,8 @@
         RolloutLimits rolloutLimits = nodeAt("rollouts").isMissingNode()
                 ? RolloutLimits.DEFAULT
                 : new RolloutLimits(nonNegative("rollouts.ratio"), nonNegative("rollouts.fixed"));
+        Contention contention = contention();
+        List<String> agreements = agreements();
         if (!problems.isEmpty()) {
             return Optional.empty();
         }
@@ -108,7 +113,37 @@
                 features,
                 capacity,
                 coldBound,
-                rolloutLimits));
+                rolloutLimits,
+                contention,
+                agreements));
+    }
+
+    private Contention contention() {
+        JsonNode node = nodeAt("contention");
+        if (node.isMissingNode()) {
+            return Contention.ANNOUNCED;
+        }
+        // YAML reads "on" and "off" without quotes as booleans.
+        if (node.isBoolean()) {
+            return node.asBoolean() ? Contention.ON : Contention.OFF;
+        }
+        for (Contention each : Contention.values()) {
+            if (each.name().toLowerCase(Locale.ROOT).equals(node.textValue())) {
+                return each;
+            }
+        }
+        problems.add(document.problem("contention", ValueText.of(node), "off, announced or on"));
+        return Contention.ANNOUNCED;
+    }
+
+    private List<String> agreements() {
+        List<String> agreements = new ArrayList<>();
+        JsonNode list = nodeAt("agreements");
+        if (!list.isArray() && !list.isMissingNode()) {
+            problems.add(document.problem("agreements", ValueText.of(list), "a list of names"));
+        }
+        list.forEach(name -> agreements.add(name.asText()));
+        return agreements;
     }
 
     /** All features except those listed in the optional field {@code without}. */
