Reported load raises the cost of upstreams; engines are told priorities

A node sees a few per cent of an upstream's requests, so it does not know that work on a VM takes 2.5 times as long for half a second, nor what waits there.

The platform reads X-Wagtaillug-Server-Load with four figures into the notice. The node keeps the newest report of each listed run of an upstream and, under load_view, multiplies expected durations and tokens to read by the slowdown, after adding what is reported beyond the slots. Under engine_priorities, engines are told the rank of a request as 0 to 9. Malformed headers enter no decision and give a decision line each minute at most; reports are counted by pool. An unreadable rate limit beside a load does not end an earlier limit.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/load/LoadView.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/load/LoadView.java
@@ -4,7 +4,9 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.wagtaillug.id.VmId;
 
 /**
@@ -51,6 +53,25 @@
         return report == null ? 0 : report.load().waiting() * weight(report, now);
     }
 
+    /**
+     * The number of requests by which an upstream's load exceeds its slots, as a multiple of these; 0 without a recent
+     * report.
+     */
+    public double excess(VmId upstream, Instant now) {
+        Report report = reports.get(upstream);
+        if (report == null) {
+            return 0;
+        }
+        ServerLoad load = report.load();
+        double beyond = Math.max(0, (double) load.running() + load.waiting() - load.slots());
+        return beyond / Math.max(1, load.slots()) * weight(report, now);
+    }
+
+    /** The time since the newest report of an upstream; empty if there is none. */
+    public Optional<Duration> age(VmId upstream, Instant now) {
+        return Optional.ofNullable(reports.get(upstream)).map(report -> Duration.between(report.at(), now));
+    }
+
     private static double weight(Report report, Instant now) {
         double age = Math.max(0, Duration.between(report.at(), now).toNanos());
         return Math.pow(0.5, age / HALF_LIFE.toNanos());
@@ -63,6 +84,11 @@
 
     /** Forgets the reports of all upstreams that are not listed any more. */
     public void retain(Set<VmId> listed) {
-        reports.keySet().retainAll(listed);
+        retain(listed::contains);
+    }
+
+    /** Forgets the reports of all upstreams that are not listed any more. */
+    public void retain(Predicate<VmId> listed) {
+        reports.keySet().removeIf(listed.negate());
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/notice/UpstreamNotice.java
@@ -14,13 +14,17 @@
  * @param maxRejections the requests per second that each upstream of its pool can reject for lack of room without
  *     failing; empty if the pool is not brittle
  * @param load its load, with the time that work takes on its VM; empty if it does not report that time
+ * @param malformedLoad the text of a load report that cannot be read, shortened; empty if there is none
+ * @param limitUnreadable whether it names a rate limit that cannot be read, so that an earlier one goes on
  */
 public record UpstreamNotice(
         OptionalDouble rateLimit,
         boolean leaving,
         Duration pause,
         OptionalDouble maxRejections,
-        Optional<ServerLoad> load) {
+        Optional<ServerLoad> load,
+        Optional<String> malformedLoad,
+        boolean limitUnreadable) {
     /** The notice of an upstream that announces nothing. */
     public static final UpstreamNotice NONE = builder().build();
 
@@ -36,6 +40,8 @@
         private Duration pause = Duration.ZERO;
         private OptionalDouble maxRejections = OptionalDouble.empty();
         private Optional<ServerLoad> load = Optional.empty();
+        private Optional<String> malformedLoad = Optional.empty();
+        private boolean limitUnreadable;
 
         private Builder() {}
 
@@ -69,8 +75,20 @@
             return this;
         }
 
+        /** Sets the text of a load report that cannot be read. */
+        public Builder malformedLoad(String text) {
+            malformedLoad = Optional.of(text);
+            return this;
+        }
+
+        /** Sets that the upstream names a rate limit that cannot be read. */
+        public Builder limitUnreadable() {
+            limitUnreadable = true;
+            return this;
+        }
+
         public UpstreamNotice build() {
-            return new UpstreamNotice(rateLimit, leaving, pause, maxRejections, load);
+            return new UpstreamNotice(rateLimit, leaving, pause, maxRejections, load, malformedLoad, limitUnreadable);
         }
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/route/RouteTable.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/route/RouteTable.java
@@ -34,6 +34,11 @@
         return Optional.empty();
     }
 
+    /** All routes, in no particular order. */
+    public List<Route> all() {
+        return byHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /** Whether any route has streams that may be resumed. */
     boolean streamsResumable() {
         return byHost.values().stream()
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -15,6 +15,7 @@
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.load.LoadEstimate;
 import org.wagtaillug.membership.Rendezvous;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
@@ -58,6 +59,7 @@
     private final UpstreamLimits limits;
     private final DomainId domain;
     private final PolicyFeatures features;
+    private final LoadEstimate load;
     private final PrefixPlacement placement;
     private final Rendezvous rendezvous = new Rendezvous();
     private Prompt lastPrompt;
@@ -70,6 +72,18 @@
             UpstreamLimits limits,
             DomainId domain,
             PolicyFeatures features) {
+        this(directory, health, limits, domain, features, LoadEstimate.off());
+    }
+
+    /** Creates the same for upstreams that report their load. */
+    public UpstreamChooser(
+            UpstreamDirectory directory,
+            UpstreamHealth health,
+            UpstreamLimits limits,
+            DomainId domain,
+            PolicyFeatures features,
+            LoadEstimate load) {
+        this.load = load;
         this.directory = directory;
         this.health = health;
         this.limits = limits;
@@ -110,6 +124,9 @@
         if (pool.engine()) {
             return Optional.of(selectEngine(candidates, prompt, now));
         }
+        if (load.inEffect()) {
+            return Optional.of(selectByLoad(candidates, now));
+        }
         return candidates.stream()
                 .min(Comparator.comparing(this::expectedCompletion).thenComparing(Upstream::id));
     }
@@ -131,11 +148,37 @@
                 .anyMatch(upstream -> !tried.contains(upstream.id()) && limits.announcementsAllow(upstream, time, now));
     }
 
+    /** The server with the earliest expected completion by the load that servers report; ties are broken by the node. */
+    private Upstream selectByLoad(List<Upstream> candidates, Instant now) {
+        Upstream best = candidates.getFirst();
+        Duration earliest = completionByLoad(best, now);
+        for (Upstream upstream : candidates.subList(1, candidates.size())) {
+            Duration completion = completionByLoad(upstream, now);
+            int order = completion.compareTo(earliest);
+            if (order < 0 || (order == 0 && load.position(upstream.id()) < load.position(best.id()))) {
+                best = upstream;
+                earliest = completion;
+            }
+        }
+        return best;
+    }
+
+    private Duration completionByLoad(Upstream upstream, Instant now) {
+        int inFlight = health.inFlight(upstream.id());
+        return withRoundTrip(upstream, load.completion(upstream.id(), durationOf(upstream), inFlight, now));
+    }
+
     private Duration expectedCompletion(Upstream upstream) {
-        Duration perRequest = features.uses(PolicyFeature.LATENCY_CHOICE)
+        return withRoundTrip(upstream, durationOf(upstream).multipliedBy(health.inFlight(upstream.id()) + 1L));
+    }
+
+    private Duration durationOf(Upstream upstream) {
+        return features.uses(PolicyFeature.LATENCY_CHOICE)
                 ? health.expected(upstream.id()).orElse(DEFAULT_DURATION)
                 : DEFAULT_DURATION;
-        Duration total = perRequest.multipliedBy(health.inFlight(upstream.id()) + 1L);
+    }
+
+    private Duration withRoundTrip(Upstream upstream, Duration total) {
         return upstream.domain().equals(domain) ? total : total.plus(CROSS_DOMAIN_ROUND_TRIP);
     }
 
@@ -190,12 +233,24 @@
         return best;
     }
 
+    /** The tokens that no engine has cached, as no other request has them. */
+    private static long ownTokens(Prompt prompt) {
+        long own = prompt.tokens();
+        for (PrefixSegment segment : prompt.segments()) {
+            own -= segment.tokens();
+        }
+        return Math.max(0, own);
+    }
+
     private long tokensToRead(Upstream upstream, Prompt prompt, List<Set<VmId>> homes, Instant now) {
         long tokens = queuedPromptTokens.getOrDefault(upstream.id(), 0L)
                 + (long) health.inFlight(upstream.id()) * DECODE_LOAD_TOKENS;
         if (features.uses(PolicyFeature.PROMPT_HOMES)) {
             tokens += placement.uncachedTokens(prompt.segments(), homes, upstream.id(), now);
         }
+        if (load.inEffect()) {
+            tokens = load.tokensToRead(upstream.id(), tokens + ownTokens(prompt), prompt.tokens(), now);
+        }
         boolean crossesDomains = prompt.inputsDomain().isPresent()
                 && !prompt.inputsDomain().get().equals(upstream.domain());
         return crossesDomains && features.uses(PolicyFeature.NEARNESS)
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -3,10 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.load.LoadEstimate;
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.result.ResultCode;
@@ -112,7 +115,13 @@
                 .field("open", budget.open()));
     }
 
-    void send(Flow flow, Upstream upstream, int inFlight, long keptTokens, Instant now) {
+    void send(
+            Flow flow,
+            Upstream upstream,
+            int inFlight,
+            long keptTokens,
+            Optional<LoadEstimate.Observation> load,
+            Instant now) {
         Decision.Builder line = line("send", flow)
                 .field("attempt", flow.attempts())
                 .field("upstream", upstream.id())
@@ -126,6 +135,8 @@
                 .field("inputs", flow.inputHandles().size())
                 .field("since_arrival_ms", millis(flow.arrivedAt(), now));
         flow.lastEvent().ifPresent(event -> line.field("resumes_after", event));
+        load.ifPresent(observed -> line.field("slowdown", String.format(Locale.ROOT, "%.2f", observed.slowdown()))
+                .field("load_age_ms", observed.age().toMillis()));
         write(line);
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/NoticeExchange.java
@@ -13,6 +13,7 @@
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.load.LoadView;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.notice.AnnouncedRateLimits;
@@ -29,6 +30,7 @@
     private final UpstreamDirectory directory;
     private final WallClock wallClock;
     private final ContentionSwitch contention;
+    private final LoadReports loads;
     private final Consumer<ServingEffect> effects;
     private final AnnouncedRateLimits rateLimits = new AnnouncedRateLimits();
     private final RequestedPauses pauses = new RequestedPauses();
@@ -39,8 +41,10 @@
             Roster roster,
             WallClock wallClock,
             ContentionSwitch contention,
+            LoadView loadView,
             Consumer<ServingEffect> effects) {
         this.contention = contention;
+        this.loads = new LoadReports(directory, loadView, contention, effects);
         this.directory = directory;
         this.wallClock = wallClock;
         this.brittlePools = new BrittlePools(roster, wallClock);
@@ -77,7 +81,8 @@
         if (notice.load().isPresent() && contention.onAnnounced()) {
             log(Decision.builder("contention").field("source", id));
         }
-        if (rateLimits.onAnswer(id, notice.rateLimit(), successful, sentAt, now)) {
+        loads.onAnswer(upstream, notice, now);
+        if (!notice.limitUnreadable() && rateLimits.onAnswer(id, notice.rateLimit(), successful, sentAt, now)) {
             log(rateLimit(id, notice.rateLimit()).field("source", "answer"));
         }
         if (notice.leaving()) {
@@ -86,7 +91,9 @@
                     Math.max(upstream.incarnation(), wallClock.wallTime(sentAt).epochMillis());
             logDeparture(id, latestStart, directory.onDeparture(id, latestStart, now), "answer");
         }
-        if (brittlePools.onAnswer(upstream.pool(), notice.maxRejections(), successful, sentAt, now)) {
+        boolean saysBrittle =
+                !notice.limitUnreadable() || notice.maxRejections().isPresent();
+        if (saysBrittle && brittlePools.onAnswer(upstream.pool(), notice.maxRejections(), successful, sentAt, now)) {
             log(Decision.builder("pool_brittle")
                     .field("pool", upstream.pool())
                     .field("upstream", id)
@@ -137,10 +144,12 @@
         Instant start = wallClock.steadyTime(upstream.startedAt());
         rateLimits.onRestarted(upstream.id(), start, now);
         pauses.onRestarted(upstream.id(), start);
+        loads.onRestarted(upstream.id());
     }
 
     void onTick(Instant now) {
         pauses.onTick(now);
+        loads.onTick(now);
         rateLimits.onTick(id -> directory.find(id).isPresent(), now);
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -21,6 +21,7 @@
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
+import org.wagtaillug.load.LoadEstimate;
 import org.wagtaillug.notice.UpstreamNotice;
 import org.wagtaillug.peer.Roster;
 import org.wagtaillug.policy.PolicyFeature;
@@ -60,13 +61,12 @@
     /** Status of an upstream that does not find an input of the request. */
     private static final int STATUS_INPUTS_GONE = 409;
 
-    /** The rank of the customer takes precedence over the rank of the route. */
-    private static final int CUSTOMER_RANK_FACTOR = 100;
-
     private final UpstreamDirectory directory;
     private final UpstreamHealth health;
     private final Roster roster;
     private final UpstreamChooser chooser;
+    private final LoadEstimate load;
+    private final EnginePriorities priorities;
     private final FlowSteps steps;
     private final RetryDecisions retries;
     private final RolloutExchange rollouts;
@@ -107,8 +107,11 @@
         this.streams = exchanges.streams();
         this.quarantine = exchanges.quarantine();
         this.features = setup.features();
+        this.load = new LoadEstimate(
+                upstreams.load(), upstreams.contention(), setup.self().vm());
+        this.priorities = new EnginePriorities(upstreams.contention());
         this.chooser = new UpstreamChooser(
-                directory, health, notices.upstreamLimits(roster, setup.coldBound()), setup.domain(), features);
+                directory, health, notices.upstreamLimits(roster, setup.coldBound()), setup.domain(), features, load);
         this.log = new FlowLog(effects);
         this.refusals = new ArrivalRefusals(effects, log);
         this.selection = new AttemptSelection(upstreams, chooser, rollouts, streams, log);
@@ -126,6 +129,7 @@
     void configure(ServingConfiguration latest) {
         configuration = latest;
         steps.configure(latest);
+        priorities.configure(latest);
     }
 
     boolean idle() {
@@ -166,7 +170,7 @@
 
     private void begin(RoutedRequest request, Route route, Optional<Customer> customer, Instant now) {
         int customerRank = customer.map(each -> each.rank().orElse(0)).orElse(0);
-        int rank = customerRank * CUSTOMER_RANK_FACTOR + route.rank();
+        int rank = EnginePriorities.rank(customerRank, route.rank());
         Flow flow = new Flow(request, route, customer.map(Customer::id), rank, now);
         Duration needed = remainingTime.fromArrival(flow, now);
         if (!shutdown.hasTimeFor(needed, now)) {
@@ -383,8 +387,10 @@
                 stream,
                 selection.retryableElsewhere(flow, now),
                 flow.needsFreshConnection(),
-                selected.path())));
-        log.send(flow, upstream, health.inFlight(upstream.id()), keptTokens, now);
+                selected.path(),
+                priorities.priority(flow.rank(), flow.pool(), configuration))));
+        Optional<LoadEstimate.Observation> observed = load.observation(upstream.id(), now);
+        log.send(flow, upstream, health.inFlight(upstream.id()), keptTokens, observed, now);
     }
 
     void onAnswerStarted(ServingEvent.AnswerStarted started, Instant now) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/SendOrder.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/SendOrder.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.id.CustomerId;
 import org.wagtaillug.id.RequestId;
@@ -22,6 +23,7 @@
  * @param retryableElsewhere whether another upstream may get the request if this one stops responding
  * @param freshConnection whether the request must not be sent on a connection that was used before
  * @param path how the request gets to the upstream
+ * @param priority the order in which engines process requests, 0 to 9, 0 first; empty if the upstream is told none
  */
 public record SendOrder(
         RequestId request,
@@ -34,4 +36,5 @@
         boolean stream,
         boolean retryableElsewhere,
         boolean freshConnection,
-        UpstreamPath path) {}
+        UpstreamPath path,
+        OptionalInt priority) {}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -18,6 +18,7 @@
 import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.load.ContentionReport;
+import org.wagtaillug.load.LoadView;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.peer.Peers;
@@ -91,7 +92,8 @@
         feeds = new FeedExchange(peers, effects::add, this::onFeedRecord);
         feeds.onRestored(this::onStoreRestored);
         rollouts = new RolloutExchange(setup, directory, effects::add);
-        notices = new NoticeExchange(directory, roster, wallClock, contention, effects::add);
+        LoadView loadView = new LoadView();
+        notices = new NoticeExchange(directory, roster, wallClock, contention, loadView, effects::add);
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
         orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
@@ -105,7 +107,8 @@
                         paths,
                         wallClock,
                         time -> feeds.confirm(FeedName.DIRECTORY, time, currentTime),
-                        contention),
+                        contention,
+                        loadView),
                 roster,
                 orders,
                 new Exchanges(rollouts, notices, streams, quarantine),
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
@@ -8,6 +8,7 @@
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedReader;
+import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
@@ -177,6 +178,16 @@
      */
     record LogDecision(Decision decision) implements ServingEffect {}
 
+    /**
+     * Add to the metrics what the upstreams of a pool have reported of their load.
+     *
+     * @param pool the pool
+     * @param reports the number of reports since the last such effect of the pool
+     * @param malformed the number of reports since then that could not be read
+     * @param slowdown how long work is expected to take now, as a multiple of the usual time; the mean of its upstreams
+     */
+    record LoadObserved(PoolId pool, long reports, long malformed, double slowdown) implements ServingEffect {}
+
     /** Close idle caller connections, as no new request should reach this node any more. */
     record CloseIdleConnections() implements ServingEffect {}
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamState.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/UpstreamState.java
@@ -5,6 +5,7 @@
 import org.wagtaillug.clock.WallClock;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.health.UpstreamHealth;
+import org.wagtaillug.load.LoadView;
 import org.wagtaillug.policy.ContentionSwitch;
 
 /**
@@ -16,6 +17,7 @@
  * @param wallClock compares this node's time with the start times of upstreams
  * @param directoryConfirmation tells whether the directory contains all entries from before a time
  * @param contention whether the policy features for contended upstreams are in effect
+ * @param load the load that they report
  */
 record UpstreamState(
         UpstreamDirectory directory,
@@ -23,4 +25,5 @@
         UpstreamPaths paths,
         WallClock wallClock,
         Function<Instant, FeedExchange.Confirmation> directoryConfirmation,
-        ContentionSwitch contention) {}
+        ContentionSwitch contention,
+        LoadView load) {}
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/AnnouncingFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/AnnouncingFleet.java
@@ -242,7 +242,13 @@
                 openPauses.putIfAbsent(link, new Pause(world.now.plus(NOTICE_TIME), world.now.plus(pause)));
             }
             UpstreamNotice notice = new UpstreamNotice(
-                    limit, leaving.contains(upstream), pause, OptionalDouble.empty(), Optional.empty());
+                    limit,
+                    leaving.contains(upstream),
+                    pause,
+                    OptionalDouble.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    false);
             world.handle(
                     answer.node(),
                     new ServingEvent.SendEnded(
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -88,6 +88,7 @@
                 parts.metrics().recordDecision(log.decision().kind());
                 parts.decisions().add(log.decision(), parts.clock().get());
             }
+            case ServingEffect.LoadObserved observed -> parts.metrics().recordLoad(observed);
             case ServingEffect.CloseIdleConnections ignored ->
                 parts.closeIdleConnections().run();
             case ServingEffect.DrainFinished ignored -> drained.countDown();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
@@ -1,6 +1,7 @@
 package org.wagtaillug.daemon.routed;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
@@ -27,6 +28,17 @@
             .labelNames("kind")
             .register(registry);
 
+    private final Counter loadReports = Counter.builder()
+            .name("wagtaillug_routed_load_reports_total")
+            .help("Load reports of upstreams, by pool and whether they could be read (read, malformed)")
+            .labelNames("pool", "result")
+            .register(registry);
+    private final Gauge slowdown = Gauge.builder()
+            .name("wagtaillug_routed_pool_slowdown")
+            .help("Expected duration of work by recent load reports, as a multiple of the usual one; mean of the pool")
+            .labelNames("pool")
+            .register(registry);
+
     /** Records the end of a request. */
     void recordRequest(String route, ServingEffect.Outcome outcome, Duration took) {
         requestSeconds
@@ -39,6 +51,14 @@
         decisions.labelValues(kind).inc();
     }
 
+    /** Records what the upstreams of a pool have reported of their load. */
+    void recordLoad(ServingEffect.LoadObserved observed) {
+        String pool = observed.pool().value();
+        loadReports.labelValues(pool, "read").inc(observed.reports());
+        loadReports.labelValues(pool, "malformed").inc(observed.malformed());
+        slowdown.labelValues(pool).set(observed.slowdown());
+    }
+
     /** All metrics in Prometheus's text format. */
     String text() {
         return MetricsText.of(registry);
