--- a/wagtaillug-core/src/main/java/org/wagtaillug/route/ServingConfiguration.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/route/ServingConfiguration.java
@@ -43,6 +43,15 @@
         return pools.values().stream().anyMatch(PoolProfile::engine);
     }
 
+    /** The pools that consist of model engines, in the order of their ids. */
+    public List<PoolId> enginePools() {
+        return pools.values().stream()
+                .filter(PoolProfile::engine)
+                .map(PoolProfile::id)
+                .sorted(Comparator.comparing(PoolId::value))
+                .toList();
+    }
+
     /** The pools whose calls are scheduled in batches, in the order of their ids. */
     public List<PoolId> scheduledPools() {
         List<PoolId> scheduled = new ArrayList<>();
