One node assigns the engines of a pool for the requests of all nodes

A node sees a few per cent of an engine's prompts, so prompts collided, streams paused while an engine read several chunks, and engines that were 2.5 times slower for half a second got as much as others. Off unless the features for contended upstreams are in effect.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -114,6 +114,30 @@
                 .min(Comparator.comparing(this::expectedCompletion).thenComparing(Upstream::id));
     }
 
+    /**
+     * The first of some upstreams that this node's limits allow.
+     *
+     * @param versions the versions that may serve the request
+     * @param preferred the upstreams, in order
+     * @param tried upstreams to exclude because the request was sent there before
+     * @return empty if none is allowed and healthy
+     */
+    public Optional<Upstream> firstAllowed(
+            PoolProfile pool, VersionRule versions, List<VmId> preferred, Set<VmId> tried, Instant now) {
+        if (preferred.isEmpty()) {
+            return Optional.empty();
+        }
+        List<Upstream> eligible = eligible(pool, versions, tried, now);
+        for (VmId id : preferred) {
+            for (Upstream upstream : eligible) {
+                if (upstream.id().equals(id) && health.usable(id, now)) {
+                    return Optional.of(upstream);
+                }
+            }
+        }
+        return Optional.empty();
+    }
+
     private List<Upstream> eligible(PoolProfile pool, VersionRule versions, Set<VmId> tried, Instant now) {
         List<Upstream> eligible = new ArrayList<>();
         for (Upstream upstream : directory.usable(pool.id(), versions)) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ArrivalRefusals.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ArrivalRefusals.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.result.Refusal;
 import org.wagtaillug.result.ResultCode;
 
@@ -35,4 +36,14 @@
     private void finish(RoutedRequest request, String route) {
         effects.accept(new ServingEffect.Finished(request.id(), route, ServingEffect.Outcome.REFUSED, Duration.ZERO));
     }
+
+    /** The code of a request one of whose steps was not made. */
+    static ResultCode codeOf(BatchOutcome.Reason reason) {
+        return switch (reason) {
+            case OVERLOADED -> ResultCode.STEP_OVERLOADED;
+            case LATE -> ResultCode.DEADLINE_CANNOT_BE_MET;
+            case FAILED, INPUTS_GONE -> ResultCode.STEP_FAILED;
+            case NO_UPSTREAM -> ResultCode.NO_UPSTREAM;
+        };
+    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
@@ -88,8 +88,14 @@
      * Selects the next attempt.
      *
      * @param inputsDomain the failure domain that holds most of the inputs
+     * @param assigned the upstreams that are used if possible, in order; empty if none were assigned
      */
-    Selection select(Flow flow, ServingConfiguration configuration, Optional<DomainId> inputsDomain, Instant now) {
+    Selection select(
+            Flow flow,
+            ServingConfiguration configuration,
+            Optional<DomainId> inputsDomain,
+            List<VmId> assigned,
+            Instant now) {
         Optional<PoolProfile> pool = configuration.pool(flow.pool());
         if (pool.isEmpty() || directory.usable(flow.pool()).isEmpty()) {
             return new Selection.Impossible(
@@ -104,7 +110,8 @@
             return obstacle.get();
         }
         return switch (paths.choose(flow.pool(), flow.request().id(), flow.attempts(), now)) {
-            case UpstreamPaths.Choice.Found found -> select(flow, pool.get(), found.path(), inputsDomain, now);
+            case UpstreamPaths.Choice.Found found ->
+                select(flow, pool.get(), found.path(), inputsDomain, assigned, now);
             case UpstreamPaths.Choice.Searching ignored -> new Selection.Unavailable(false);
             case UpstreamPaths.Choice.None ignored ->
                 new Selection.Impossible(ResultCode.NO_UPSTREAM, "no node has a path to pool \"" + flow.pool() + "\"");
@@ -127,18 +134,36 @@
     }
 
     private Selection select(
-            Flow flow, PoolProfile pool, UpstreamPath path, Optional<DomainId> inputsDomain, Instant now) {
+            Flow flow,
+            PoolProfile pool,
+            UpstreamPath path,
+            Optional<DomainId> inputsDomain,
+            List<VmId> assigned,
+            Instant now) {
         UpstreamChooser.Prompt prompt = new UpstreamChooser.Prompt(
                 flow.request().promptSegments(),
                 flow.request().promptTokens(),
                 inputsDomain,
                 flow.estimatedInputBytes());
-        Optional<Upstream> chosen = choose(flow, pool, flow.excludedUpstreams(path), prompt, now);
+        Set<VmId> excluded = flow.excludedUpstreams(path);
+        boolean direct = path instanceof UpstreamPath.Direct;
+        Optional<Upstream> chosen = assigned(flow, pool, direct ? assigned : List.of(), excluded, now)
+                .or(() -> choose(flow, pool, excluded, prompt, now));
         return chosen.isPresent()
                 ? new Selection.Selected(chosen.get(), path, prompt)
                 : new Selection.Unavailable(true);
     }
 
+    /** The first of the assigned upstreams that may get the request; empty if none may. */
+    private Optional<Upstream> assigned(
+            Flow flow, PoolProfile pool, List<VmId> assigned, Set<VmId> excluded, Instant now) {
+        if (assigned.isEmpty() || flow.stream().isPresent()) {
+            return Optional.empty();
+        }
+        VersionRule rule = rollouts.rule(flow.pool(), flow.request().id(), flow.attempts() == 0);
+        return chooser.firstAllowed(pool, rule, assigned, excluded, now);
+    }
+
     private Optional<Upstream> choose(
             Flow flow, PoolProfile pool, Set<VmId> excluded, UpstreamChooser.Prompt prompt, Instant now) {
         if (flow.stream().isPresent()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Exchanges.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Exchanges.java
@@ -7,6 +7,11 @@
  * @param notices what upstreams announce
  * @param streams the origins of streams
  * @param quarantine prompts that crash upstreams
+ * @param assignments the choice of engines for the requests of all nodes
  */
 record Exchanges(
-        RolloutExchange rollouts, NoticeExchange notices, StreamExchange streams, QuarantineExchange quarantine) {}
+        RolloutExchange rollouts,
+        NoticeExchange notices,
+        StreamExchange streams,
+        QuarantineExchange quarantine,
+        AssignmentExchange assignments) {}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.wagtaillug.batch.BatchOutcome;
 import org.wagtaillug.directory.Upstream;
@@ -112,7 +113,13 @@
                 .field("open", budget.open()));
     }
 
-    void send(Flow flow, Upstream upstream, int inFlight, long keptTokens, Instant now) {
+    void send(
+            Flow flow,
+            Upstream upstream,
+            int inFlight,
+            long keptTokens,
+            Optional<AssignmentExchange.Source> source,
+            Instant now) {
         Decision.Builder line = line("send", flow)
                 .field("attempt", flow.attempts())
                 .field("upstream", upstream.id())
@@ -126,6 +133,9 @@
                 .field("inputs", flow.inputHandles().size())
                 .field("since_arrival_ms", millis(flow.arrivedAt(), now));
         flow.lastEvent().ifPresent(event -> line.field("resumes_after", event));
+        source.ifPresent(by -> line.field("chosen_by", by.chosenBy())
+                .field("assignment", by.reason())
+                .field("assignment_ms", by.waited().toMillis()));
         write(line);
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PeerMembership.java
@@ -23,6 +23,8 @@
 import org.wagtaillug.peer.Peers;
 import org.wagtaillug.peer.Registration;
 import org.wagtaillug.peer.Roster;
+import org.wagtaillug.policy.ContentionSwitch;
+import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.route.ServingConfiguration;
 
 /** Keeps this node registered as a member and connected to the peers whose duties it depends on. */
@@ -53,12 +55,15 @@
     private final Member member;
     private final Roster roster;
     private final Peers peers;
+    private final ContentionSwitch contention;
     private final Registration registration;
     private final Consumer<ServingEffect> effects;
     private final BooleanSupplier acceptsWork;
     private List<PoolId> scheduledPools = List.of();
     private boolean streamsResumable;
     private boolean enginesInUse;
+    private List<PoolId> enginePools = List.of();
+    private boolean enginesAssigned;
     private Set<VmId> connected = Set.of();
     private boolean rosterChanged;
     private boolean rolloutInProgress;
@@ -69,12 +74,14 @@
             ServingSetup setup,
             Roster roster,
             Peers peers,
+            ContentionSwitch contention,
             Consumer<ServingEffect> effects,
             BooleanSupplier acceptsWork) {
         this.self = setup.self();
         this.member = new Member(setup.self().vm(), setup.domain(), setup.capacity());
         this.roster = roster;
         this.peers = peers;
+        this.contention = contention;
         this.registration = new Registration(member);
         this.effects = effects;
         this.acceptsWork = acceptsWork;
@@ -85,7 +92,13 @@
         return "pool/" + pool;
     }
 
+    /** The name of the duty to assign the engines of a pool. */
+    static String assignment(PoolId pool) {
+        return "engines/" + pool;
+    }
+
     void configure(ServingConfiguration latest) {
+        enginePools = latest.enginePools();
         scheduledPools = latest.scheduledPools();
         streamsResumable = latest.streamsResumable();
         enginesInUse = latest.enginesInUse();
@@ -127,6 +140,11 @@
             duties.put(QUARANTINE_DUTY, Duty.ofQuarantine(ranking, QuarantineExchange.DECIDERS));
             duties.put(QUARANTINE_WRITER_DUTY, Duty.ofQuarantineWriter(ranking));
         }
+        enginesAssigned = contention.uses(PolicyFeature.SHARED_ASSIGNMENT);
+        if (enginesAssigned) {
+            List<VmId> ranking = AssignmentRanking.of(roster.ranking(STREAM_REPLICA_DUTY));
+            enginePools.forEach(pool -> duties.put(assignment(pool), Duty.ofAssignment(ranking, pool)));
+        }
         if (rolloutInProgress) {
             duties.put(ROLLOUT_DUTY, Duty.ofStoreReaders(roster.ranking(ROLLOUT_DUTY), 1));
         }
@@ -203,7 +221,7 @@
         if (rosterKnown) {
             roster.onListed();
         }
-        if (rosterChanged) {
+        if (rosterChanged || enginesAssigned != contention.uses(PolicyFeature.SHARED_ASSIGNMENT)) {
             // Once for all members that join together; otherwise every join during the start of a fleet would
             // recompute all rankings.
             updateDuties();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -19,6 +19,7 @@
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.health.EngineTimes;
 import org.wagtaillug.health.UpstreamHealth;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.notice.UpstreamNotice;
@@ -73,6 +74,7 @@
     private final NoticeExchange notices;
     private final StreamExchange streams;
     private final QuarantineExchange quarantine;
+    private final AssignmentExchange assignments;
     private final AttemptSelection selection;
     private final AttemptOutcomes outcomes;
     private final Shutdown shutdown;
@@ -106,6 +108,7 @@
         this.rollouts = exchanges.rollouts();
         this.streams = exchanges.streams();
         this.quarantine = exchanges.quarantine();
+        this.assignments = exchanges.assignments();
         this.features = setup.features();
         this.chooser = new UpstreamChooser(
                 directory, health, notices.upstreamLimits(roster, setup.coldBound()), setup.domain(), features);
@@ -282,13 +285,7 @@
             return;
         }
         String message = "step " + order.step() + " failed: " + notMade.reason();
-        ResultCode code =
-                switch (notMade.reason()) {
-                    case OVERLOADED -> ResultCode.STEP_OVERLOADED;
-                    case LATE -> ResultCode.DEADLINE_CANNOT_BE_MET;
-                    case FAILED, INPUTS_GONE -> ResultCode.STEP_FAILED;
-                    case NO_UPSTREAM -> ResultCode.NO_UPSTREAM;
-                };
+        ResultCode code = ArrivalRefusals.codeOf(notMade.reason());
         refuse(flow, code, notMade.retryAfter(), message, now);
     }
 
@@ -325,7 +322,11 @@
             fail(flow, ResultCode.SHUTTING_DOWN, SHUTTING_DOWN_MESSAGE, now);
             return;
         }
-        switch (selection.select(flow, configuration, steps.domainOf(flow.inputResults()), now)) {
+        Optional<DomainId> inputsDomain = steps.domainOf(flow.inputResults());
+        if (assignments.awaitsReply(flow, inputsDomain, now)) {
+            return;
+        }
+        switch (selection.select(flow, configuration, inputsDomain, assignments.assigned(flow), now)) {
             case AttemptSelection.Selection.Selected selected -> {
                 admissionDeadlines.remove(flow.request().id());
                 send(flow, selected, now);
@@ -384,7 +385,8 @@
                 selection.retryableElsewhere(flow, now),
                 flow.needsFreshConnection(),
                 selected.path())));
-        log.send(flow, upstream, health.inFlight(upstream.id()), keptTokens, now);
+        Optional<AssignmentExchange.Source> source = assignments.onSent(flow, upstream, now);
+        log.send(flow, upstream, health.inFlight(upstream.id()), keptTokens, source, now);
     }
 
     void onAnswerStarted(ServingEvent.AnswerStarted started, Instant now) {
@@ -403,6 +405,7 @@
         Listing upstream = flow.target().get().listing();
         started.notice().ifPresent(notice -> notices.onAnswer(upstream, notice, true, flow.sentAt(), now));
         health.onProgress(flow.target().get().id(), now);
+        assignments.onAnswering(flow, started.notice(), now);
         outcomes.recordConnection(flow, upstream.id());
         engineTimes.onFirstEvent(flow.pool(), flow.request().promptTokens(), Duration.between(flow.sentAt(), now), now);
         inputs.onAnswerStarted(flow, now);
@@ -454,6 +457,7 @@
             rollouts.sample(flow, true, now);
         }
         flow.clearTarget(now);
+        assignments.onEnded(flow, ended.notice(), now);
         flow.recordEnd(end);
         outcomes.record(flow, upstream, ended, now);
         log.end(flow, upstream, ended, health.inFlight(upstream.id()), Duration.between(flow.sentAt(), now));
@@ -463,7 +467,8 @@
         switch (end) {
             case SendEnd.Passed passed -> {
                 quarantine.onPassed(flow, upstream, passed.delimited(), now);
-                onPassed(flow, now);
+                remainingTime.onAnswered(flow, now);
+                finish(flow, Outcome.PASSED, "passed", now);
             }
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
             case SendEnd.Unsent ignored -> {
@@ -482,11 +487,6 @@
         }
     }
 
-    private void onPassed(Flow flow, Instant now) {
-        remainingTime.onAnswered(flow, now);
-        finish(flow, Outcome.PASSED, "passed", now);
-    }
-
     private void onNotRun(Flow flow, int status, Instant now) {
         if (status != STATUS_INPUTS_GONE || flow.steps().isEmpty()) {
             boolean allowed = retries.tryAfterRejection(flow, RetryDecisions.Cause.REJECTED, now);
@@ -577,6 +577,7 @@
         steps.endRequest(flow, now);
         flows.remove(id);
         admissionDeadlines.remove(id);
+        assignments.onFinished(flow, now);
         Duration took = Duration.between(flow.arrivedAt(), now);
         effects.accept(new ServingEffect.Finished(id, flow.route().id().value(), outcome, took));
         log.finish(flow, outcome, reason, now);
@@ -602,6 +603,7 @@
             }
             health.onCancelled(flow.target().get().id());
             flow.clearTarget(now);
+            assignments.onEnded(flow, Optional.empty(), now);
         }
     }
 
@@ -642,6 +644,12 @@
         }
         sendWaiting(admissionDeadlines.keySet(), now);
         onDirectoryRead(now);
+        onAssigned(now);
+    }
+
+    /** Sends requests whose engines have been assigned, or will not be. */
+    void onAssigned(Instant now) {
+        sendWaiting(assignments.pollReady(), now);
     }
 
     /** Sends requests that were waiting for a read of the directory. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -72,6 +72,7 @@
     private final UpstreamPaths paths;
     private final StreamExchange streams;
     private final QuarantineExchange quarantine;
+    private final AssignmentExchange assignments;
     private final StepOrders orders;
     private final RequestFlows flows;
     private final Shutdown shutdown;
@@ -87,7 +88,7 @@
         Roster roster = new Roster(setup.self().vm());
         peers = new Peers(setup.self().vm(), setup.seeds(), roster);
         shutdown = new Shutdown(setup.drainGrace());
-        membership = new PeerMembership(setup, roster, peers, effects::add, () -> !shutdown.started());
+        membership = new PeerMembership(setup, roster, peers, contention, effects::add, () -> !shutdown.started());
         feeds = new FeedExchange(peers, effects::add, this::onFeedRecord);
         feeds.onRestored(this::onStoreRestored);
         rollouts = new RolloutExchange(setup, directory, effects::add);
@@ -97,18 +98,21 @@
         orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
         streams = new StreamExchange(setup, peers, () -> !shutdown.started(), effects::add);
         quarantine = new QuarantineExchange(setup, peers, () -> !shutdown.started(), effects::add);
+        UpstreamState upstreams = new UpstreamState(
+                directory,
+                health,
+                paths,
+                wallClock,
+                time -> feeds.confirm(FeedName.DIRECTORY, time, currentTime),
+                contention);
+        assignments =
+                new AssignmentExchange(setup, peers, upstreams, rollouts, () -> !shutdown.started(), effects::add);
         flows = new RequestFlows(
                 setup,
-                new UpstreamState(
-                        directory,
-                        health,
-                        paths,
-                        wallClock,
-                        time -> feeds.confirm(FeedName.DIRECTORY, time, currentTime),
-                        contention),
+                upstreams,
                 roster,
                 orders,
-                new Exchanges(rollouts, notices, streams, quarantine),
+                new Exchanges(rollouts, notices, streams, quarantine, assignments),
                 shutdown,
                 effects::add);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, currentTime));
@@ -211,6 +215,7 @@
             housekeepingDue = now.plus(HOUSEKEEPING_INTERVAL);
             runHousekeeping(now);
         }
+        assignments.onTick(now);
         flows.onTick(now);
         if (shutdown.started()) {
             advanceShutdown(now);
@@ -230,6 +235,7 @@
             log(Decision.builder("upstream_lapsed").field("upstream", expired));
         }
         notices.onTick(now);
+        assignments.onHousekeeping(now);
         paths.onTick(now);
         membership.onTick(feeds.complete(FeedName.MEMBERSHIP), orders.partners(), reply -> heartbeat(reply, now), now);
         feeds.setReader(membership.readsStore(now));
@@ -324,6 +330,7 @@
                 if (membership.onHeartbeat(sender, heartbeat, reply -> heartbeat(reply, now), now)) {
                     orders.onPeerRestarted(sender.vm(), now);
                     streams.onPeerRestarted(sender.vm());
+                    assignments.onPeerRestarted(sender.vm());
                 }
             }
             case ServingMessage.FeedRequest request -> feeds.onFeedRequest(sender.vm(), request);
@@ -347,9 +354,12 @@
             case ServingMessage.ReservationRequest ignored -> {}
             case ServingMessage.ReservationReply ignored -> {}
             case ServingMessage.ReservationCancellation ignored -> {}
-            case ServingMessage.AssignmentRequest ignored -> {}
-            case ServingMessage.AssignmentReply ignored -> {}
-            case ServingMessage.AssignmentUpdate ignored -> {}
+            case ServingMessage.AssignmentRequest request -> assignments.onRequest(sender, request, now);
+            case ServingMessage.AssignmentReply reply -> {
+                assignments.onReply(sender, reply, now);
+                flows.onAssigned(now);
+            }
+            case ServingMessage.AssignmentUpdate update -> assignments.onUpdate(sender, update, now);
         }
     }
 
@@ -438,6 +448,7 @@
         configuration = Optional.of(latest);
         membership.configure(latest);
         flows.configure(latest);
+        assignments.configure(latest);
         effects.add(new ServingEffect.LimitsChanged(latest.limits()));
         log(Decision.builder("configuration")
                 .field("version", latest.version())
@@ -466,6 +477,7 @@
                     health.onRestarted(listing.id());
                     flows.onRestarted(listing.id());
                     notices.onRestarted(listing, now);
+                    assignments.onEngineRestarted(listing.id());
                 }
                 logUpstream(listing.id(), change, record);
                 return !known || !listing.remainingColdTime().isZero();
@@ -516,7 +528,7 @@
 
     /** Returns the time until the next tick is due, in the current state of the node. */
     public Duration tickInterval() {
-        if (shutdown.started() || !orders.scheduler().idle()) {
+        if (shutdown.started() || !orders.scheduler().idle() || assignments.busy()) {
             return SCHEDULING_TICK;
         }
         boolean starting = !reportedReady.orElse(false);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
@@ -8,6 +8,7 @@
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedReader;
+import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.message.ServingMessage;
@@ -177,6 +178,26 @@
      */
     record LogDecision(Decision decision) implements ServingEffect {}
 
+    /**
+     * Count a step in the assignment of an engine.
+     *
+     * @param pool the pool of the engine
+     * @param event the step
+     */
+    record CountAssignment(PoolId pool, AssignmentEvent event) implements ServingEffect {}
+
+    /** The steps in the assignment of an engine by another node, as reported in metrics. */
+    enum AssignmentEvent {
+        /** The other node was asked. */
+        ASKED,
+        /** It replied in time. */
+        ANSWERED,
+        /** It did not reply in time. */
+        TIMED_OUT,
+        /** An assigned engine got the request, whichever node assigned it. */
+        USED
+    }
+
     /** Close idle caller connections, as no new request should reach this node any more. */
     record CloseIdleConnections() implements ServingEffect {}
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -16,6 +16,8 @@
 import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.BiPredicate;
 import java.util.function.LongSupplier;
 import org.wagtaillug.batch.BatchCall;
 import org.wagtaillug.batch.BatchCallEnd;
@@ -42,6 +44,8 @@
 import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.UpstreamNotice;
+import org.wagtaillug.policy.Contention;
+import org.wagtaillug.policy.PolicyFeatures;
 import org.wagtaillug.quarantine.QuarantineReport;
 import org.wagtaillug.rollout.RolloutOrder;
 import org.wagtaillug.rollout.RolloutStatus;
@@ -112,9 +116,17 @@
     /** By how much the wall clocks of nodes are ahead of the time. */
     final Map<VmId, Duration> wallClockErrors = new HashMap<>();
 
+    /** Decides which messages of a node are lost. */
+    BiPredicate<VmId, ServingEffect.SendToPeer> lost = (sender, send) -> false;
+
+    /** Gets the attempts that nodes send. */
+    BiConsumer<VmId, SendOrder> onSend = (sender, order) -> {};
+
     Duration answerDelay = MESSAGE_DELAY;
     Instant now = START;
     private final Duration grace;
+    private final Contention contention;
+    private final PolicyFeatures features;
     private final Map<VmId, Long> incarnations = new HashMap<>();
     private final Map<VmId, SteadyClock> clocks = new HashMap<>();
     private final Map<VmId, WallClockMonitor> wallClocks = new HashMap<>();
@@ -125,7 +137,7 @@
     private long era;
     private int results;
 
-    private record Delivery(Instant at, long number, VmId node, ServingEvent event) implements Comparable<Delivery> {
+    private record Delivery(Instant at, long number, Runnable action) implements Comparable<Delivery> {
         @Override
         public int compareTo(Delivery other) {
             int byTime = at.compareTo(other.at);
@@ -140,7 +152,14 @@
 
     /** Starts nodes with the given grace period for their shutdown. */
     ServingWorld(int count, Duration grace) {
+        this(count, grace, Contention.ANNOUNCED, PolicyFeatures.ALL);
+    }
+
+    /** Starts nodes with some of the policy features. */
+    ServingWorld(int count, Duration grace, Contention contention, PolicyFeatures features) {
         this.grace = grace;
+        this.contention = contention;
+        this.features = features;
         for (FeedName name : FeedName.values()) {
             store.put(name, new ArrayList<>());
         }
@@ -161,6 +180,8 @@
                 .startedAt(Instant.ofEpochMilli(incarnation))
                 .drainGrace(grace)
                 .acceptsTunnels(true)
+                .contention(contention)
+                .features(features)
                 .build();
         nodes.put(vm, new Serving(setup));
         incarnations.put(vm, incarnation);
@@ -417,12 +438,13 @@
 
     private void execute(VmId vm, ServingEffect effect) {
         switch (effect) {
+            case ServingEffect.Send send -> onSend.accept(vm, send.order());
             case ServingEffect.ReadFeed read -> read(vm, read);
             case ServingEffect.SendToPeer send -> {
                 boolean isolated = isolatedNodes.contains(vm) || isolatedNodes.contains(send.receiver());
                 boolean understood = !aboutStreams(send.message())
                         || !(earlierBuilds.contains(vm) || earlierBuilds.contains(send.receiver()));
-                if (!isolated && understood) {
+                if (!isolated && understood && !lost.test(vm, send)) {
                     schedule(
                             MESSAGE_DELAY.plus(delay(send)),
                             send.receiver(),
@@ -589,9 +611,14 @@
                         notice));
     }
 
-    private void schedule(Duration delay, VmId vm, ServingEvent event) {
+    void schedule(Duration delay, VmId vm, ServingEvent event) {
+        schedule(delay, () -> handle(vm, event));
+    }
+
+    /** Runs an action after a time. */
+    void schedule(Duration delay, Runnable action) {
         sequence++;
-        deliveries.add(new Delivery(now.plus(delay), sequence, vm, event));
+        deliveries.add(new Delivery(now.plus(delay), sequence, action));
     }
 
     /** Advances the clock. */
@@ -602,7 +629,7 @@
             while (!deliveries.isEmpty() && !deliveries.peek().at().isAfter(next)) {
                 Delivery delivery = deliveries.poll();
                 now = delivery.at().isAfter(now) ? delivery.at() : now;
-                handle(delivery.node(), delivery.event());
+                delivery.action().run();
             }
             now = next;
             for (VmId vm : List.copyOf(nodes.keySet())) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -84,6 +84,8 @@
                         .write(write.feed(), write.key(), write.value(), write.expectedEnd(), parts.events());
             case ServingEffect.LimitsChanged changed -> parts.handler().limits(changed.limits());
             case ServingEffect.ReadinessChanged changed -> updateReadiness(changed);
+            case ServingEffect.CountAssignment counted ->
+                parts.metrics().recordAssignment(counted.pool(), counted.event());
             case ServingEffect.LogDecision log -> {
                 parts.metrics().recordDecision(log.decision().kind());
                 parts.decisions().add(log.decision(), parts.clock().get());
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import org.wagtaillug.daemon.metrics.MetricsText;
+import org.wagtaillug.id.PoolId;
 import org.wagtaillug.serving.ServingEffect;
 
 /** Counts requests and decisions. Names and labels are listed in docs/OPERATIONS.md. */
@@ -27,6 +28,19 @@
             .labelNames("kind")
             .register(registry);
 
+    private final Counter assignments = Counter.builder()
+            .name("wagtaillug_routed_assignments_total")
+            .help("Assignments of engines, by pool and event")
+            .labelNames("pool", "event")
+            .register(registry);
+
+    /** Records a step in the assignment of an engine. */
+    void recordAssignment(PoolId pool, ServingEffect.AssignmentEvent event) {
+        assignments
+                .labelValues(pool.value(), event.name().toLowerCase(Locale.ROOT))
+                .inc();
+    }
+
     /** Records the end of a request. */
     void recordRequest(String route, ServingEffect.Outcome outcome, Duration took) {
         requestSeconds
