--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -539,4 +539,9 @@
     public int requests() {
         return flows.size();
     }
+
+    /** The assignment of engines, for tests. */
+    AssignmentExchange assignments() {
+        return assignments;
+    }
 }
