--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowLog.java
@@ -121,6 +121,7 @@
             int inFlight,
             long keptTokens,
             Optional<LoadEstimate.Observation> load,
+            Optional<AssignmentExchange.Source> source,
             Instant now) {
         Decision.Builder line = line("send", flow)
                 .field("attempt", flow.attempts())
@@ -137,6 +138,9 @@
         flow.lastEvent().ifPresent(event -> line.field("resumes_after", event));
         load.ifPresent(observed -> line.field("slowdown", String.format(Locale.ROOT, "%.2f", observed.slowdown()))
                 .field("load_age_ms", observed.age().toMillis()));
+        source.ifPresent(by -> line.field("chosen_by", by.chosenBy())
+                .field("assignment", by.reason())
+                .field("assignment_ms", by.waited().toMillis()));
         write(line);
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Collection;
 import java.util.EnumSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +17,7 @@
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.health.EngineTimes;
 import org.wagtaillug.health.UpstreamHealth;
+import org.wagtaillug.id.DomainId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.load.LoadEstimate;
@@ -50,9 +49,6 @@
     private static final Set<ResultCode> WITHOUT_RETRY_AFTER =
             EnumSet.of(ResultCode.SHUTTING_DOWN, ResultCode.PROMPT_QUARANTINED, ResultCode.REQUEST_QUARANTINED);
 
-    /** If all upstreams are too busy, a request waits for its latency target divided by this and is then refused. */
-    private static final int ADMISSION_WAIT_DIVISOR = 8;
-
     private static final int MAX_STEP_RESTARTS = 1;
 
     /** Status of an upstream that has no room for the request. */
@@ -73,6 +69,7 @@
     private final NoticeExchange notices;
     private final StreamExchange streams;
     private final QuarantineExchange quarantine;
+    private final AssignmentExchange assignments;
     private final AttemptSelection selection;
     private final AttemptOutcomes outcomes;
     private final Shutdown shutdown;
@@ -85,8 +82,7 @@
     private final FlowLog log;
     private final ArrivalRefusals refusals;
     private final Map<RequestId, Flow> flows = new LinkedHashMap<>();
-    private final Map<RequestId, Instant> admissionDeadlines = new LinkedHashMap<>();
-    private final Set<RequestId> unconfirmed = new LinkedHashSet<>();
+    private final WaitingSends waiting;
     private ServingConfiguration configuration;
     private int lastAttempt;
 
@@ -106,6 +102,7 @@
         this.rollouts = exchanges.rollouts();
         this.streams = exchanges.streams();
         this.quarantine = exchanges.quarantine();
+        this.assignments = exchanges.assignments();
         this.features = setup.features();
         this.load = new LoadEstimate(
                 upstreams.load(), upstreams.contention(), setup.self().vm());
@@ -115,6 +112,7 @@
         this.log = new FlowLog(effects);
         this.refusals = new ArrivalRefusals(effects, log);
         this.selection = new AttemptSelection(upstreams, chooser, rollouts, streams, log);
+        this.waiting = new WaitingSends(selection);
         StepTimes times = new StepTimes(engineTimes, features);
         this.pathEstimate = new PathEstimate(times);
         this.steps = new FlowSteps(
@@ -286,13 +284,7 @@
             return;
         }
         String message = "step " + order.step() + " failed: " + notMade.reason();
-        ResultCode code =
-                switch (notMade.reason()) {
-                    case OVERLOADED -> ResultCode.STEP_OVERLOADED;
-                    case LATE -> ResultCode.DEADLINE_CANNOT_BE_MET;
-                    case FAILED, INPUTS_GONE -> ResultCode.STEP_FAILED;
-                    case NO_UPSTREAM -> ResultCode.NO_UPSTREAM;
-                };
+        ResultCode code = ArrivalRefusals.codeOf(notMade.reason());
         refuse(flow, code, notMade.retryAfter(), message, now);
     }
 
@@ -329,40 +321,25 @@
             fail(flow, ResultCode.SHUTTING_DOWN, SHUTTING_DOWN_MESSAGE, now);
             return;
         }
-        switch (selection.select(flow, configuration, steps.domainOf(flow.inputResults()), now)) {
+        Optional<DomainId> inputsDomain = steps.domainOf(flow.inputResults());
+        if (assignments.awaitsReply(flow, inputsDomain, now)) {
+            return;
+        }
+        switch (selection.select(flow, configuration, inputsDomain, assignments.assigned(flow), now)) {
             case AttemptSelection.Selection.Selected selected -> {
-                admissionDeadlines.remove(flow.request().id());
+                waiting.remove(flow.request().id());
                 send(flow, selected, now);
             }
             case AttemptSelection.Selection.Unavailable unavailable ->
-                waitForUpstream(flow, unavailable.reachable(), now);
+                waiting.waitForUpstream(flow, unavailable.reachable(), now)
+                        .ifPresent(ended -> fail(flow, ended.code(), ended.message(), now));
             case AttemptSelection.Selection.Unconfirmed ignored ->
-                unconfirmed.add(flow.request().id());
+                waiting.addUnconfirmed(flow.request().id());
             case AttemptSelection.Selection.Impossible impossible ->
                 fail(flow, impossible.code(), impossible.message(), now);
         }
     }
 
-    /**
-     * Lets a request wait for an upstream or for a path.
-     *
-     * @param reachable whether there is a path, so that only the limits of the upstreams stand against it
-     */
-    private void waitForUpstream(Flow flow, boolean reachable, Instant now) {
-        Duration maxWait = flow.route().latencyTarget().dividedBy(ADMISSION_WAIT_DIVISOR);
-        Instant until = admissionDeadlines.computeIfAbsent(flow.request().id(), id -> now.plus(maxWait));
-        boolean noneInTime = reachable && !selection.announcementsAllow(flow, until, now);
-        if (!noneInTime && now.isBefore(until)) {
-            return;
-        }
-        if (reachable) {
-            String message = "all upstreams of pool \"" + flow.pool() + "\" are at their limits";
-            fail(flow, ResultCode.UPSTREAM_FULL, message, now);
-            return;
-        }
-        fail(flow, ResultCode.NO_UPSTREAM, "no path to pool \"" + flow.pool() + "\" was found in time", now);
-    }
-
     private void send(Flow flow, AttemptSelection.Selection.Selected selected, Instant now) {
         if (flow.needsRetry() && !retries.tryAfterRejection(flow, RetryDecisions.Cause.REJECTED, now)) {
             fail(flow, ResultCode.UPSTREAM_FULL, "the limit on retries is reached", now);
@@ -390,7 +367,8 @@
                 selected.path(),
                 priorities.priority(flow.rank(), flow.pool(), configuration))));
         Optional<LoadEstimate.Observation> observed = load.observation(upstream.id(), now);
-        log.send(flow, upstream, health.inFlight(upstream.id()), keptTokens, observed, now);
+        Optional<AssignmentExchange.Source> source = assignments.onSent(flow, upstream, now);
+        log.send(flow, upstream, health.inFlight(upstream.id()), keptTokens, observed, source, now);
     }
 
     void onAnswerStarted(ServingEvent.AnswerStarted started, Instant now) {
@@ -409,6 +387,7 @@
         Listing upstream = flow.target().get().listing();
         started.notice().ifPresent(notice -> notices.onAnswer(upstream, notice, true, flow.sentAt(), now));
         health.onProgress(flow.target().get().id(), now);
+        assignments.onAnswering(flow, started.notice(), now);
         outcomes.recordConnection(flow, upstream.id());
         engineTimes.onFirstEvent(flow.pool(), flow.request().promptTokens(), Duration.between(flow.sentAt(), now), now);
         inputs.onAnswerStarted(flow, now);
@@ -460,6 +439,7 @@
             rollouts.sample(flow, true, now);
         }
         flow.clearTarget(now);
+        assignments.onEnded(flow, ended.notice(), now);
         flow.recordEnd(end);
         outcomes.record(flow, upstream, ended, now);
         log.end(flow, upstream, ended, health.inFlight(upstream.id()), Duration.between(flow.sentAt(), now));
@@ -469,7 +449,8 @@
         switch (end) {
             case SendEnd.Passed passed -> {
                 quarantine.onPassed(flow, upstream, passed.delimited(), now);
-                onPassed(flow, now);
+                remainingTime.onAnswered(flow, now);
+                finish(flow, Outcome.PASSED, "passed", now);
             }
             case SendEnd.GivenUp ignored -> finish(flow, Outcome.LEFT, "attempt cancelled", now);
             case SendEnd.Unsent ignored -> {
@@ -488,11 +469,6 @@
         }
     }
 
-    private void onPassed(Flow flow, Instant now) {
-        remainingTime.onAnswered(flow, now);
-        finish(flow, Outcome.PASSED, "passed", now);
-    }
-
     private void onNotRun(Flow flow, int status, Instant now) {
         if (status != STATUS_INPUTS_GONE || flow.steps().isEmpty()) {
             boolean allowed = retries.tryAfterRejection(flow, RetryDecisions.Cause.REJECTED, now);
@@ -582,7 +558,8 @@
         RequestId id = flow.request().id();
         steps.endRequest(flow, now);
         flows.remove(id);
-        admissionDeadlines.remove(id);
+        waiting.remove(id);
+        assignments.onFinished(flow, now);
         Duration took = Duration.between(flow.arrivedAt(), now);
         effects.accept(new ServingEffect.Finished(id, flow.route().id().value(), outcome, took));
         log.finish(flow, outcome, reason, now);
@@ -608,6 +585,7 @@
             }
             health.onCancelled(flow.target().get().id());
             flow.clearTarget(now);
+            assignments.onEnded(flow, Optional.empty(), now);
         }
     }
 
@@ -646,19 +624,23 @@
             }
             inputs.onTick(flow, now);
         }
-        sendWaiting(admissionDeadlines.keySet(), now);
+        sendWaiting(waiting.forUpstreams(), now);
         onDirectoryRead(now);
+        onAssigned(now);
+    }
+
+    /** Sends requests whose engines have been assigned, or will not be. */
+    void onAssigned(Instant now) {
+        sendWaiting(assignments.pollReady(), now);
     }
 
     /** Sends requests that were waiting for a read of the directory. */
     void onDirectoryRead(Instant now) {
-        List<RequestId> waiting = List.copyOf(unconfirmed);
-        unconfirmed.clear();
-        sendWaiting(waiting, now);
+        sendWaiting(waiting.pollUnconfirmed(), now);
     }
 
-    private void sendWaiting(Collection<RequestId> waiting, Instant now) {
-        for (RequestId id : List.copyOf(waiting)) {
+    private void sendWaiting(List<RequestId> ids, Instant now) {
+        for (RequestId id : ids) {
             Flow flow = flows.get(id);
             if (flow != null && flow.target().isEmpty()) {
                 send(flow, now);
