A request that ends before its assignment no longer counts at the engine

A caller that left within the few milliseconds before the reply left its request counted at the assigned engine until its deadline of 6 s. The late reply now makes the node report its end.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/AssignmentExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AssignmentExchange.java
@@ -50,6 +50,7 @@
     private final AssignmentUpdates updates = new AssignmentUpdates(this::sendReports);
     private final AssignmentTimeouts timeouts = new AssignmentTimeouts();
     private final Map<RequestId, Question> questions = new LinkedHashMap<>();
+    private final Map<Long, Abandoned> abandoned = new HashMap<>();
     private final Map<RequestId, Advice> advice = new HashMap<>();
     private final List<RequestId> ready = new ArrayList<>();
     private final Map<RequestId, SentAttempt> inFlight = new LinkedHashMap<>();
@@ -59,6 +60,9 @@
 
     private record Question(long number, PoolId pool, int attempts, VmId holder, Instant askedAt) {}
 
+    /** A question whose request has ended before the reply. */
+    private record Abandoned(Flow flow, Instant askedAt) {}
+
     private record Advice(int attempts, List<VmId> engines, String source, Duration waited) {}
 
     private record SentAttempt(Flow flow, PoolId pool, int number, VmId engine, boolean answering) {}
@@ -198,6 +202,16 @@
                 return;
             }
         }
+        Abandoned ended = abandoned.remove(reply.number());
+        if (ended != null && !reply.engines().isEmpty()) {
+            reportUnsent(ended.flow(), reply.engines().getFirst(), now);
+        }
+    }
+
+    /** Reports that a request will not be sent to the engine that was assigned to it. */
+    private void reportUnsent(Flow flow, VmId engine, Instant now) {
+        SentAttempt unsent = new SentAttempt(flow, flow.pool(), flow.attempt(), engine, false);
+        report(unsent, AttemptReport.State.ENDED, Optional.empty(), now);
     }
 
     private void settle(RequestId request, Question question, List<VmId> engines, String source, Instant now) {
@@ -268,12 +282,13 @@
     void onFinished(Flow flow, Instant now) {
         RequestId id = flow.request().id();
         onEnded(flow, Optional.empty(), now);
-        questions.remove(id);
+        Question open = questions.remove(id);
+        if (open != null) {
+            abandoned.put(open.number(), new Abandoned(flow, open.askedAt()));
+        }
         Advice unused = advice.remove(id);
         if (unused != null && !unused.engines().isEmpty()) {
-            VmId engine = unused.engines().getFirst();
-            SentAttempt unsent = new SentAttempt(flow, flow.pool(), flow.attempt(), engine, false);
-            report(unsent, AttemptReport.State.ENDED, Optional.empty(), now);
+            reportUnsent(flow, unused.engines().getFirst(), now);
         }
     }
 
@@ -331,6 +346,7 @@
             count(question.pool(), ServingEffect.AssignmentEvent.TIMED_OUT);
             settle(entry.getKey(), question, List.of(), "no reply of " + question.holder() + " in time", now);
         }
+        abandoned.values().removeIf(ended -> now.isAfter(ended.askedAt().plus(REPLY_TIMEOUT)));
         updates.onTick(now);
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/AssignmentFailureTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/AssignmentFailureTest.java
@@ -238,6 +238,19 @@
         assertThat(received).isEmpty();
     }
 
+    /** Guards against the requests of callers that have left counting until their deadlines. */
+    @Test
+    void aCallerLeavesBeforeTheReply() {
+        start(4);
+        int asking = other(holder);
+        RequestId request = ask(asking);
+        fleet.world.handle(node(asking), new ServingEvent.CallerDisconnected(request));
+        fleet.world.run(Duration.ofMillis(100));
+        assertThat(fleet.world.sends(request)).isEmpty();
+        assertThat(lines("assign")).hasSize(2);
+        assertThat(inFlight(holder)).isZero();
+    }
+
     /** Guards against requests that count at an engine that has lost them. */
     @Test
     void anEngineRestarts() {
