Bound what is held for slow readers

Callers may read their answers slowly, and upstreams request bodies; RoutedExchange.pending grew without a bound. Counts what is held for each exchange and for all, lets upstreams wait for up to a second at a time while an exchange holds much, and ends the one that needs most time to be read beyond the bounds, which are derived from the heap. Takes effect with PolicyFeature.READER_LIMITS, of which Serving informs the daemon by one effect.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -23,6 +23,7 @@
 import org.wagtaillug.peer.Peers;
 import org.wagtaillug.peer.Roster;
 import org.wagtaillug.policy.ContentionSwitch;
+import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.result.Refusal;
 import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.route.BatchContract;
@@ -79,6 +80,7 @@
     private Optional<Boolean> reportedReady = Optional.empty();
     private Instant currentTime = Instant.EPOCH;
     private Instant housekeepingDue = Instant.EPOCH;
+    private boolean readerLimitsEnabled;
 
     /** Creates a node that has read no feed yet. */
     public Serving(ServingSetup setup) {
@@ -175,11 +177,19 @@
         feeds.setActive(FeedName.ROLLOUTS, rollouts.inProgress());
         feeds.read(now);
         reportReadiness();
+        enableReaderLimits();
         List<ServingEffect> result = List.copyOf(effects);
         effects.clear();
         return result;
     }
 
+    private void enableReaderLimits() {
+        if (!readerLimitsEnabled && contention.uses(PolicyFeature.READER_LIMITS)) {
+            readerLimitsEnabled = true;
+            effects.add(new ServingEffect.ReaderLimitsEnabled());
+        }
+    }
+
     private void onConnectEnded(ServingEvent.ConnectEnded ended, Instant now) {
         if (ended.failure().isPresent()) {
             directory.find(ended.upstream()).ifPresent(upstream -> quarantine.onConnectionRefused(upstream, now));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ServingEffect.java
@@ -162,6 +162,9 @@
      */
     record LimitsChanged(CallerLimits limits) implements ServingEffect {}
 
+    /** Bound from now on what is held for slow readers; emitted once. */
+    record ReaderLimitsEnabled() implements ServingEffect {}
+
     /**
      * Report whether the load balancer may open new connections.
      *
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -118,6 +118,7 @@
     private final ControlThread<Serving, ServingEvent, ServingEffect> control;
     private final NodeId self;
     private final Server server;
+    private final ReaderLimits readerLimits;
     private AsyncDecisionLog decisions;
     private PeerLink link;
     private TunnelServer tunnels;
@@ -180,6 +181,16 @@
         control = new ControlThread<>(
                 new Serving(setup.build()), this::decide, new ServingEvent.Tick(), clock::now, Serving::tickInterval);
         server = new Server(threads);
+        readerLimits = new ReaderLimits(
+                HeldBytes.Bounds.ofHeap(Runtime.getRuntime().maxMemory()),
+                threads,
+                pooledClient::getScheduler,
+                (reason, decision) -> {
+                    metrics.recordReaderEnded(reason);
+                    logDecision(decision);
+                },
+                clock::now);
+        metrics.observeHeldBytes(readerLimits::total);
     }
 
     private List<ServingEffect> decide(Serving serving, ServingEvent event, Instant now) {
@@ -214,7 +225,8 @@
         start(pooledClient);
         start(singleUseClient);
         decisions = new AsyncDecisionLog();
-        handler = new RoutedHandler(translation.callers(), exchanges, connections, control::submit, clock::now);
+        handler = new RoutedHandler(
+                translation.callers(), exchanges, connections, control::submit, clock::now, readerLimits);
         link = openLink();
         RoutedSettings.Address tunnelAddress = tunnelAddress();
         tunnels = new TunnelServer(link.eventLoops(), tunnelAddress.host(), tunnelAddress.port(), control::submit);
@@ -240,6 +252,7 @@
                 control::submit,
                 decisions,
                 metrics,
+                readerLimits,
                 clock::now));
         control.start(effects);
         listen();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -42,6 +42,7 @@
             Consumer<ServingEvent> events,
             AsyncDecisionLog decisions,
             RoutedMetrics metrics,
+            ReaderLimits readerLimits,
             Supplier<Instant> clock) {}
 
     RoutedEffects(Parts parts) {
@@ -83,6 +84,8 @@
                         .feeds()
                         .write(write.feed(), write.key(), write.value(), write.expectedEnd(), parts.events());
             case ServingEffect.LimitsChanged changed -> parts.handler().limits(changed.limits());
+            case ServingEffect.ReaderLimitsEnabled ignored ->
+                parts.readerLimits().enable();
             case ServingEffect.ReadinessChanged changed -> updateReadiness(changed);
             case ServingEffect.LogDecision log -> {
                 parts.metrics().recordDecision(log.decision().kind());
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
@@ -1,6 +1,5 @@
 package org.wagtaillug.daemon.routed;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -43,7 +42,9 @@
     private final byte[] body;
     private final CallerConnections connections;
     private final Function<Refusal, HttpFields> refusalHead;
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private final ExchangeBytes bytes;
+    private final PendingBytes pending = new PendingBytes();
+    private Optional<Runnable> onDisconnect = Optional.empty();
     private Optional<CallerWatch> watch = Optional.empty();
     private Optional<CompleteAnswer> failure = Optional.empty();
     private boolean started;
@@ -52,6 +53,10 @@
     private boolean bodyStarted;
     private boolean complete;
     private boolean closed;
+    private boolean inWriteLoop;
+    private boolean attempted;
+    private boolean ended;
+    private boolean requestCompleted;
 
     /**
      * A complete answer in memory.
@@ -62,6 +67,7 @@
      */
     record CompleteAnswer(int status, HttpFields head, byte[] body) {}
 
+    /** Creates an exchange whose bytes are counted by the given limits. */
     RoutedExchange(
             RoutedRequest routed,
             Request request,
@@ -69,7 +75,8 @@
             Callback callback,
             byte[] body,
             CallerConnections connections,
-            Function<Refusal, HttpFields> refusalHead) {
+            Function<Refusal, HttpFields> refusalHead,
+            ReaderLimits limits) {
         this.routed = routed;
         this.request = request;
         this.response = response;
@@ -77,6 +84,7 @@
         this.body = body;
         this.connections = connections;
         this.refusalHead = refusalHead;
+        this.bytes = limits.open(routed.id(), this::endUnread);
     }
 
     RoutedRequest routed() {
@@ -99,16 +107,42 @@
         return body;
     }
 
-    /** Runs {@code onDisconnect} when the caller closes its connection before its answer is complete. */
-    synchronized void watch(Runnable onDisconnect) {
-        if (!closed && !complete) {
-            watch = Optional.of(CallerWatch.start(request, onDisconnect));
+    ExchangeBytes bytes() {
+        return bytes;
+    }
+
+    /**
+     * Runs {@code callerDisconnected} when the caller closes its connection before its answer is complete, or when the
+     * exchange is ended because its readers are slow.
+     */
+    void watch(Runnable callerDisconnected) {
+        synchronized (this) {
+            onDisconnect = Optional.of(callerDisconnected);
+            if (!closed && !complete) {
+                watch = Optional.of(CallerWatch.start(request, callerDisconnected));
+            }
+        }
+        if (body.length > 0) {
+            bytes.addBody(body.length);
         }
     }
 
+    /** Starts an attempt at an upstream; returns false if the exchange has been ended, so that nothing may be sent. */
+    synchronized boolean startAttempt() {
+        if (ended) {
+            return false;
+        }
+        if (attempted) {
+            bytes.onBodyRestarted();
+        }
+        attempted = true;
+        return true;
+    }
+
     /** Keeps an upstream's failure response, which may be forwarded later. */
     synchronized void keepFailure(CompleteAnswer answer) {
         failure = Optional.of(answer);
+        bytes.keep(answer.body().length);
     }
 
     /** Forwards the failure response that was kept; returns false if there is none. */
@@ -116,6 +150,8 @@
         Optional<CompleteAnswer> kept;
         synchronized (this) {
             kept = failure;
+            failure = Optional.empty();
+            bytes.keep(0);
         }
         kept.ifPresent(this::forward);
         return kept.isPresent();
@@ -160,11 +196,12 @@
     }
 
     /** Sends a part of the body. */
-    synchronized void write(byte[] bytes) {
+    synchronized void write(byte[] part) {
         if (complete || closed) {
             return;
         }
-        pending.writeBytes(bytes);
+        pending.add(part, maxPart());
+        bytes.addAnswer(part.length);
         writeNext();
     }
 
@@ -199,7 +236,53 @@
                 resetAtClose();
             }
         }
-        callback.failed(new IOException("the upstream did not complete its answer"));
+        fail(new IOException("the upstream did not complete its answer"));
+    }
+
+    /**
+     * Ends the exchange because too much is held for its readers. An answer that has started is truncated, also one that
+     * is complete in memory, and its connection reset, which discards what the system holds for it. Otherwise the request
+     * is refused, as not run only if it was never sent to an upstream.
+     */
+    private void endUnread() {
+        Optional<Runnable> disconnected;
+        boolean refused;
+        boolean writingLast;
+        synchronized (this) {
+            if (requestCompleted) {
+                return;
+            }
+            ended = true;
+            disconnected = onDisconnect;
+            writingLast = closed;
+            refused = !closed && refuseUnread();
+            if (!refused) {
+                closed = true;
+                pending.clear();
+                stopWatch();
+                resetAtClose();
+            }
+        }
+        if (!refused) {
+            request.getConnectionMetaData().getConnection().getEndPoint().close();
+            if (!writingLast) {
+                fail(new IOException("the answer was read too slowly"));
+            }
+        }
+        disconnected.ifPresent(Runnable::run);
+    }
+
+    /** Refuses the request unless the caller may have received a byte of its answer. */
+    private boolean refuseUnread() {
+        if (started && !bodyStarted) {
+            response.reset();
+            started = false;
+        }
+        String message = "the node holds too much for slow readers";
+        return writeRefusal(
+                attempted
+                        ? Refusal.unknown(ResultCode.OUTCOME_UNKNOWN, Duration.ZERO, message)
+                        : Refusal.notRun(ResultCode.OVERLOADED, Duration.ZERO, message));
     }
 
     /**
@@ -234,7 +317,7 @@
             stopWatch();
         }
         request.getConnectionMetaData().getConnection().getEndPoint().close();
-        callback.failed(new IOException("the caller disconnected"));
+        fail(new IOException("the caller disconnected"));
     }
 
     /** Sends a refusal as the final answer. */
@@ -269,26 +352,44 @@
         watch = Optional.empty();
     }
 
+    /** Writes part after part; a loop, as writes that complete at once would otherwise nest. */
     private void writeNext() {
-        boolean nothingToWrite = pending.size() == 0 && !complete;
-        if (writing || closed || nothingToWrite) {
+        if (inWriteLoop) {
             return;
         }
-        ByteBuffer bytes = ByteBuffer.wrap(pending.toByteArray());
-        pending.reset();
+        inWriteLoop = true;
+        try {
+            while (!writing && !closed && (complete || !pending.isEmpty())) {
+                writePart(pending.take(maxPart()));
+            }
+        } finally {
+            inWriteLoop = false;
+        }
+    }
+
+    private int maxPart() {
+        return bytes.limited() ? HeldBytes.PART_BYTES : Integer.MAX_VALUE;
+    }
+
+    private void writePart(byte[] part) {
         writing = true;
         bodyStarted = true;
-        boolean last = complete;
+        boolean last = complete && pending.isEmpty();
         if (last) {
             // The server reads the next request once the last byte is written; the watch must not read it first.
             closed = true;
             stopWatch();
         }
-        response.write(last, bytes, Callback.from(() -> written(last), this::failed));
+        response.write(last, ByteBuffer.wrap(part), Callback.from(() -> written(last, part.length), this::failed));
     }
 
-    private void written(boolean last) {
+    private void written(boolean last, int length) {
+        bytes.onAnswerRead(length);
         if (last) {
+            synchronized (this) {
+                requestCompleted = true;
+            }
+            bytes.close();
             callback.succeeded();
             return;
         }
@@ -303,6 +404,19 @@
             closed = true;
             stopWatch();
         }
+        fail(cause);
+    }
+
+    /** Completes the request as failed, once. */
+    private void fail(Throwable cause) {
+        synchronized (this) {
+            if (requestCompleted) {
+                return;
+            }
+            requestCompleted = true;
+            pending.clear();
+        }
+        bytes.close();
         callback.failed(cause);
     }
 }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
@@ -30,6 +30,7 @@
     private final CallerConnections connections;
     private final Consumer<ServingEvent> events;
     private final Supplier<Instant> clock;
+    private final ReaderLimits readerLimits;
     private final PendingBodies pendingBodies = new PendingBodies();
     private volatile CallerLimits limits = CallerLimits.DEFAULT;
 
@@ -38,12 +39,14 @@
             RoutedExchanges exchanges,
             CallerConnections connections,
             Consumer<ServingEvent> events,
-            Supplier<Instant> clock) {
+            Supplier<Instant> clock,
+            ReaderLimits readerLimits) {
         this.translation = translation;
         this.exchanges = exchanges;
         this.connections = connections;
         this.events = events;
         this.clock = clock;
+        this.readerLimits = readerLimits;
     }
 
     /** Sets the limits for callers. */
@@ -126,7 +129,8 @@
                 callback,
                 body,
                 connections,
-                refusal -> refusalHeaders(refusal, request));
+                refusal -> refusalHeaders(refusal, request),
+                readerLimits);
         if (!exchanges.add(exchange)) {
             String message = "a request with id \"" + read.get().id() + "\" is in flight; expected a unique request id";
             refuse(Refusal.notRun(ResultCode.REQUEST_IN_FLIGHT, Duration.ZERO, message), request, response, callback);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
@@ -1,10 +1,12 @@
 package org.wagtaillug.daemon.routed;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.function.LongSupplier;
 import org.wagtaillug.daemon.metrics.MetricsText;
 import org.wagtaillug.serving.ServingEffect;
 
@@ -27,6 +29,26 @@
             .labelNames("kind")
             .register(registry);
 
+    private final Counter readersEnded = Counter.builder()
+            .name("wagtaillug_routed_readers_ended_total")
+            .help("Exchanges ended because too much was held for their readers, by reason")
+            .labelNames("reason")
+            .register(registry);
+
+    /** Reports the bytes that are held for readers. */
+    void observeHeldBytes(LongSupplier held) {
+        GaugeWithCallback.builder()
+                .name("wagtaillug_routed_held_bytes")
+                .help("Bytes of answers and request bodies held until they are read")
+                .callback(callback -> callback.call(held.getAsLong()))
+                .register(registry);
+    }
+
+    /** Records an exchange that was ended because too much was held for its readers. */
+    void recordReaderEnded(HeldBytes.Reason reason) {
+        readersEnded.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /** Records the end of a request. */
     void recordRequest(String route, ServingEffect.Outcome outcome, Duration took) {
         requestSeconds
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
@@ -1,7 +1,10 @@
 package org.wagtaillug.daemon.routed;
 
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CancellationException;
@@ -9,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
@@ -102,7 +106,7 @@
 
     private void send(SendOrder order, ActiveSend active) {
         Optional<RoutedExchange> exchange = exchanges.find(order.request());
-        if (exchange.isEmpty()) {
+        if (exchange.isEmpty() || !exchange.get().startAttempt()) {
             onEnded(order, active, new SendEnd.GivenUp(), Optional.empty());
             return;
         }
@@ -112,10 +116,17 @@
             return;
         }
         UpstreamAnswer answer = new UpstreamAnswer(order, exchange.get(), translation, memory, listener(order, active));
+        ExchangeBytes bytes = exchange.get().bytes();
         request.onRequestBegin(ignored -> answer.onSent())
                 .onResponseHeaders(answer::onHeaders)
-                .onResponseContent(answer::onContent)
-                .send(answer::onComplete);
+                .onResponseContentAsync((response, chunk, demander) -> {
+                    answer.onContent(response, chunk.getByteBuffer());
+                    bytes.demand(demander);
+                })
+                .send(result -> {
+                    bytes.stopDemand();
+                    answer.onComplete(result);
+                });
     }
 
     private UpstreamAnswer.Listener listener(SendOrder order, ActiveSend active) {
@@ -160,11 +171,27 @@
             request.idleTimeout(Math.max(1, remaining.plus(IDLE_MARGIN).toMillis()), TimeUnit.MILLISECONDS);
         }
         if (exchange.body().length > 0) {
-            request.body(new BytesRequestContent((String) null, exchange.body()));
+            addBody(request, exchange);
         }
         return request;
     }
 
+    private static void addBody(Request request, RoutedExchange exchange) {
+        ExchangeBytes bytes = exchange.bytes();
+        if (!bytes.limited()) {
+            request.body(new BytesRequestContent((String) null, exchange.body()));
+            return;
+        }
+        // In parts, so that the progress of an upstream that reads slowly is seen.
+        List<ByteBuffer> parts = new ArrayList<>();
+        int length = exchange.body().length;
+        for (int start = 0; start < length; start += HeldBytes.PART_BYTES) {
+            parts.add(ByteBuffer.wrap(exchange.body(), start, Math.min(HeldBytes.PART_BYTES, length - start)));
+        }
+        request.body(new ByteBufferRequestContent((String) null, parts))
+                .onRequestContent((ignored, part) -> bytes.onBodyRead(part.remaining()));
+    }
+
     private void onEnded(SendOrder order, ActiveSend active, SendEnd end, Optional<UpstreamNotice> notice) {
         activeSends.remove(order.request(), active);
         events.accept(new ServingEvent.SendEnded(order.request(), order.attempt(), end, notice));
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RoutedExchangeTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RoutedExchangeTest.java
@@ -60,7 +60,8 @@
                         callback,
                         new byte[0],
                         new CallerConnections(),
-                        refusal -> HttpFields.EMPTY);
+                        refusal -> HttpFields.EMPTY,
+                        ReaderLimits.none());
                 exchange.forward(new RoutedExchange.CompleteAnswer(200, HttpFields.EMPTY, new byte[LARGE_BYTES]));
                 exchange.cut();
                 cut.countDown();
--- a/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RoutedExchangeThreadsTest.java
+++ b/wagtaillug-daemon/src/test/java/org/wagtaillug/daemon/routed/RoutedExchangeThreadsTest.java
@@ -85,7 +85,8 @@
                 Callback.NOOP,
                 new byte[0],
                 new CallerConnections(),
-                refusal -> HttpFields.EMPTY);
+                refusal -> HttpFields.EMPTY,
+                ReaderLimits.none());
     }
 
     /**
@@ -141,7 +142,8 @@
                 callback,
                 new byte[0],
                 new CallerConnections(),
-                refusal -> HttpFields.EMPTY);
+                refusal -> HttpFields.EMPTY,
+                ReaderLimits.none());
         exchange.forward(new RoutedExchange.CompleteAnswer(200, HttpFields.EMPTY, new byte[1000]));
         exchange.refuse(REFUSAL);
         assertThat(failed).as("the connection is cut").isFalse();
