--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/ExchangeBytes.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/ExchangeBytes.java
@@ -10,9 +10,13 @@
     /** A server aborts an answer that stays unread for some seconds. */
     private static final Duration MAX_WAIT = Duration.ofSeconds(1);
 
+    /** What one upstream may bring in a row before the other connections of its thread are served. */
+    private static final int MAX_BYTES_IN_A_ROW = 2 * HeldBytes.PART_BYTES;
+
     private final ReaderLimits limits;
     private final HeldBytes.Account account;
     private final AtomicReference<Wait> wait = new AtomicReference<>();
+    private volatile int bytesInARow;
 
     /** An upstream from which nothing is read at the moment. */
     private static final class Wait {
@@ -72,12 +76,20 @@
         continueReading(wait.get());
     }
 
-    /** Demands the next content, at once or when the caller has read enough, but after {@link #MAX_WAIT} at the latest. */
-    void demand(Runnable demand) {
-        if (!limits.active() || limits.bytes().mayRead(account)) {
+    /**
+     * Demands the next content, at once or when the caller has read enough, but after {@link #MAX_WAIT} at the latest.
+     *
+     * @param length the length of the content that has just been read
+     */
+    void demand(int length, Runnable demand) {
+        if (!limits.active()) {
             demand.run();
             return;
         }
+        if (limits.bytes().mayRead(account)) {
+            demandFairly(length, demand);
+            return;
+        }
         Wait started = new Wait(demand);
         wait.set(started);
         started.timeout = limits.schedule(() -> onWaited(started), MAX_WAIT.toMillis());
@@ -86,6 +98,21 @@
         }
     }
 
+    /**
+     * A demand that finds content reads it on the thread that demands; an upstream that writes fast would keep a selector
+     * from all other upstreams, whose connections are then not established in time.
+     */
+    private void demandFairly(int length, Runnable demand) {
+        int inARow = bytesInARow + length;
+        if (inARow <= MAX_BYTES_IN_A_ROW) {
+            bytesInARow = inARow;
+            demand.run();
+            return;
+        }
+        bytesInARow = 0;
+        limits.execute(demand);
+    }
+
     private void onWaited(Wait ended) {
         limits.bytes().onWaited(account);
         continueReading(ended);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamCaller.java
@@ -120,8 +120,9 @@
         request.onRequestBegin(ignored -> answer.onSent())
                 .onResponseHeaders(answer::onHeaders)
                 .onResponseContentAsync((response, chunk, demander) -> {
+                    int length = chunk.remaining();
                     answer.onContent(response, chunk.getByteBuffer());
-                    bytes.demand(demander);
+                    bytes.demand(length, demander);
                 })
                 .send(result -> {
                     bytes.stopDemand();
