--- a/wagtaillug-core/src/main/java/org/wagtaillug/assignment/EngineAssigner.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/assignment/EngineAssigner.java
@@ -124,7 +124,7 @@
 
     private Candidate candidate(Upstream engine, EngineDemand demand, Instant now) {
         EngineState state = state(engine.id());
-        double slowdown = loads.slowdown(engine.id(), now);
+        double slowdown = state.usualLoad() ? 1 : loads.slowdown(engine.id(), now);
         long uncached = state.uncachedTokens(demand);
         boolean crosses = demand.inputsDomain().isPresent()
                 && !demand.inputsDomain().get().equals(engine.domain());
@@ -135,12 +135,13 @@
                 state.streams() * uncached * STREAM_DELAY_WEIGHT * slowdown * slowdown,
                 state.tokensPerSecond(now) * generating * OWN_DELAY_WEIGHT * slowdown,
                 crosses ? demand.inputBytes() * CROSS_DOMAIN_TOKENS_PER_BYTE : 0);
-        boolean free = state.fits(demand, capacity) && loads.waiting(engine.id(), now) < WAITING;
+        boolean free = state.fits(demand, capacity) && (state.usualLoad() || loads.waiting(engine.id(), now) < WAITING);
         return new Candidate(engine, cost, cost.total(), free);
     }
 
     private EngineState state(VmId engine) {
-        return engines.computeIfAbsent(engine, id -> new EngineState(capacity));
+        EngineState known = engines.get(engine);
+        return known != null ? known : engines.computeIfAbsent(engine, id -> new EngineState(capacity));
     }
 
     private void start(AttemptKey key, VmId engine, EngineDemand demand, Instant now) {
@@ -160,7 +161,7 @@
         AttemptKey key = new AttemptKey(node, report.request());
         report.load().ifPresent(load -> {
             loads.onReport(report.engine(), load, now);
-            state(report.engine()).onReport(now);
+            state(report.engine()).onReport(load, now);
         });
         boolean here = report.engine().equals(engineByAttempt.get(key));
         switch (report.state()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/assignment/EngineState.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/assignment/EngineState.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.wagtaillug.load.ServerLoad;
 import org.wagtaillug.route.EngineCapacity;
 import org.wagtaillug.routing.PrefixSegment;
 
@@ -26,6 +27,7 @@
     private int streams;
     private double recentTokens;
     private Instant recentAt = Instant.EPOCH;
+    private boolean usualLoad = true;
     private Optional<Instant> reportedAt = Optional.empty();
 
     /** An attempt that is in flight. */
@@ -82,8 +84,14 @@
                 .forEach(this::remove);
     }
 
-    void onReport(Instant at) {
+    void onReport(ServerLoad load, Instant at) {
         reportedAt = Optional.of(at);
+        usualLoad = load.slowdown() <= 1 && load.waiting() == 0;
+    }
+
+    /** Whether the last report says nothing that raises a cost, so that its weight need not be computed. */
+    boolean usualLoad() {
+        return usualLoad;
     }
 
     /** The age of the last load report; empty without one. */
