Observed durations of calls and reservations for later steps

Cause: a request is run by the first pool and refused, or late, at a later one, as what is still at earlier pools stands in no queue; and estimates use configured durations (275 ms for a full call that takes 345 ms).

Change, with OBSERVED_CALLS: schedulers fit the durations of their calls to the items (medians of small and of large calls), use them in refusals, waits and the check whether an item can meet its target, and publish that of a full call in replies; nodes use it in step targets and path estimates. With PATH_RESERVATIONS: before its first step, a request asks the schedulers of its later steps; a ledger counts reserved items and the room for results.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchQueue.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchQueue.java
@@ -11,6 +11,7 @@
 import org.wagtaillug.id.DomainId;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
+import org.wagtaillug.route.BatchContract;
 
 /**
  * The priority queue of the items that wait for a call to one pool.
@@ -24,8 +25,15 @@
     static final Duration LATE_GRACE = Duration.ofMillis(800);
 
     private final boolean byUrgency;
+    private final CallEstimate calls;
     private final List<QueuedItem> items = new ArrayList<>();
 
+    /** Estimates how long the call of an item takes. */
+    interface CallEstimate {
+        /** The expected duration of the next call to a pool, while so many items are queued. */
+        Duration expected(BatchOrder order, BatchContract contract, int queued);
+    }
+
     /** A queued item and the time since when it has been waiting. */
     record QueuedItem(OrderState state, int number, Instant since) {
         BatchOrder order() {
@@ -33,7 +41,8 @@
         }
     }
 
-    BatchQueue(PolicyFeatures features) {
+    BatchQueue(PolicyFeatures features, CallEstimate calls) {
+        this.calls = calls;
         byUrgency = features.uses(PolicyFeature.URGENCY_ORDER);
     }
 
@@ -92,6 +101,15 @@
         return orders;
     }
 
+    /** The bytes that the results of queued items of a rank and of lower ranks will take. */
+    long resultBytes(int rank) {
+        long bytes = 0;
+        for (QueuedItem item : items) {
+            bytes += item.order().urgency().rank() <= rank ? item.order().resultBytes() : 0;
+        }
+        return bytes;
+    }
+
     /** The number of items that are served before one of a rank that arrives now. */
     int countAhead(int rank, Instant now) {
         int countAhead = 0;
@@ -156,20 +174,21 @@
         return nearbyServerExists && waitedLessThanOneCall && canMeetTargetLater;
     }
 
-    private static Comparator<QueuedItem> mostUrgentFirst(Instant now, DomainId serverDomain) {
+    private Comparator<QueuedItem> mostUrgentFirst(Instant now, DomainId serverDomain) {
         return Comparator.comparing((QueuedItem item) -> !meetsTarget(item, now))
                 .thenComparingInt(item -> item.order().urgency().rank())
+                .thenComparing(item -> !item.state().reserved())
                 .thenComparing(item -> crossesDomains(item, serverDomain))
                 .thenComparing(item -> item.order().urgency().targetTime())
                 .thenComparing(item -> item.order().id().number())
                 .thenComparingInt(QueuedItem::number);
     }
 
-    private static boolean meetsTarget(QueuedItem item, Instant now) {
+    private boolean meetsTarget(QueuedItem item, Instant now) {
         return !earliestCompletion(item, now).isAfter(item.order().urgency().targetTime());
     }
 
-    private static Instant earliestCompletion(QueuedItem item, Instant now) {
-        return now.plus(item.state().contract().callOf(1));
+    private Instant earliestCompletion(QueuedItem item, Instant now) {
+        return now.plus(calls.expected(item.order(), item.state().contract(), items.size()));
     }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -21,6 +21,7 @@
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.notice.UpstreamNotice;
+import org.wagtaillug.policy.ContentionSwitch;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
 import org.wagtaillug.route.BatchContract;
@@ -54,9 +55,6 @@
     /** Retry delay for orders that are abandoned past their grace period. */
     private static final Duration OVERDUE_RETRY_AFTER = Duration.ofMillis(1000);
 
-    /** Lower bound on the throughput share assumed for low priorities. */
-    private static final double MIN_SHARE = 0.1;
-
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** Upper bound on the estimated wait, for pools with no or almost no usable servers. */
@@ -74,8 +72,9 @@
     private final BatchOutput output;
     private final PolicyFeatures features;
     private final CallGate gate;
+    private final ReservationLedger reservations = new ReservationLedger();
+    private final PoolEstimates estimates;
     private final Map<PoolId, BatchQueue> queues = new HashMap<>();
-    private final Map<PoolId, PoolThroughput> throughputs = new HashMap<>();
     private final Map<PoolId, BatchContract> contracts = new HashMap<>();
     private final Map<VmId, StageServer> servers = new HashMap<>();
     private final Map<OrderId, OrderState> orders = new HashMap<>();
@@ -104,6 +103,17 @@
 
     /** Creates a scheduler for the servers of a directory that a gate allows. */
     public BatchScheduler(UpstreamDirectory directory, BatchOutput output, PolicyFeatures features, CallGate gate) {
+        this(directory, output, features, gate, ContentionSwitch.off());
+    }
+
+    /** Creates a scheduler whose features for contended pools take effect by a switch. */
+    public BatchScheduler(
+            UpstreamDirectory directory,
+            BatchOutput output,
+            PolicyFeatures features,
+            CallGate gate,
+            ContentionSwitch contention) {
+        this.estimates = new PoolEstimates(features, contention, gate);
         this.directory = directory;
         this.output = output;
         this.features = features;
@@ -127,34 +137,38 @@
         }
         contracts.put(order.pool(), contract);
         OrderState state = new OrderState(order, contract);
-        throughput(order.pool()).onOrder(order, now);
-        Optional<BatchOutcome> refusal = refusal(order, contract, now);
+        estimates.throughput(order.pool()).onOrder(order, now);
+        if (reservations.onOrder(order)) {
+            state.markReserved();
+        }
+        Optional<BatchOutcome> refusal = refusal(state, now);
         if (refusal.isPresent()) {
             publishOutcome(state, refusal.get(), now);
             return;
         }
         orders.put(order.id(), state);
-        BatchQueue queue = queues.computeIfAbsent(order.pool(), pool -> new BatchQueue(features));
+        BatchQueue queue = queues.computeIfAbsent(order.pool(), this::newQueue);
         for (int item = 0; item < order.items(); item++) {
             queue.add(new BatchQueue.QueuedItem(state, item, now));
         }
         dispatch(order.pool(), now);
     }
 
-    private PoolThroughput throughput(PoolId pool) {
-        return throughputs.computeIfAbsent(pool, id -> new PoolThroughput());
-    }
-
     /** The outcome of an order that is refused on arrival because it cannot be served in time; empty if it is accepted. */
-    private Optional<BatchOutcome> refusal(BatchOrder order, BatchContract contract, Instant now) {
+    private Optional<BatchOutcome> refusal(OrderState state, Instant now) {
+        BatchOrder order = state.order();
+        BatchContract contract = state.contract();
         List<StageServer> usable = usableServers(order.pool());
         if (usable.isEmpty()) {
             return Optional.of(new BatchOutcome.NotMade(BatchOutcome.Reason.NO_UPSTREAM, MIN_RETRY_AFTER));
         }
+        if (state.reserved()) {
+            return Optional.empty();
+        }
         Duration wait = features.uses(PolicyFeature.EARLY_REFUSAL)
-                ? expectedWait(order.pool(), order.urgency().rank(), usable, now)
+                ? expectedWait(order.pool(), order.urgency().rank(), usable, true, now)
                 : Duration.ZERO;
-        Instant finishedAt = now.plus(wait).plus(contract.callOf(Math.min(order.items(), contract.batch())));
+        Instant finishedAt = now.plus(wait).plus(estimates.callOfOrder(order, contract, waiting(order.pool())));
         Instant overdue = order.urgency().targetTime().plus(LATE_GRACE);
         // A retry that arrives after its latency target must not be refused for that reason while the pool is idle.
         boolean withinGrace = wait.isZero() || !finishedAt.isAfter(overdue);
@@ -165,47 +179,70 @@
         return Optional.of(new BatchOutcome.NotMade(BatchOutcome.Reason.OVERLOADED, retryAfter));
     }
 
-    /** Estimates how long an order of a rank waits: for the servers to end their pauses, or for items before it. */
-    private Duration expectedWait(PoolId pool, int rank, List<StageServer> usable, Instant now) {
-        Duration pause = usable.stream()
-                .map(server -> gate.pause(server.listing(), now))
-                .min(Comparator.naturalOrder())
-                .orElse(Duration.ZERO);
-        Duration queued = expectedQueueDelay(pool, rank, usable, now);
+    /**
+     * Estimates how long an order of a rank waits: for the servers to end their pauses, or for items before it. Requests that
+     * reserve learn of reserved items from the ledger, which knows when these arrive; waits for other nodes leave them out.
+     */
+    private Duration expectedWait(PoolId pool, int rank, List<StageServer> usable, boolean withReserved, Instant now) {
+        Duration pause = estimates.shortestPause(usable, now);
+        Duration queued = expectedQueueDelay(pool, rank, usable, withReserved, now);
         return pause.compareTo(queued) > 0 ? pause : queued;
     }
 
     /** Estimates how long items that are served before a rank keep the pool busy, including later ones of lower ranks. */
-    private Duration expectedQueueDelay(PoolId pool, int rank, List<StageServer> usable, Instant now) {
+    private Duration expectedQueueDelay(
+            PoolId pool, int rank, List<StageServer> usable, boolean withReserved, Instant now) {
         BatchQueue queue = queues.get(pool);
         if (queue == null || queue.isEmpty()) {
             return Duration.ZERO;
         }
         BatchContract contract = contracts.get(pool);
-        boolean observed = features.uses(PolicyFeature.OBSERVED_WAIT);
-        double items = contract.batch() * (observed ? throughput(pool).fillRatio() : 1);
-        double seconds = contract.callOf((int) Math.ceil(items)).toNanos() / NANOS_PER_SECOND;
-        double poolRate = 0;
-        for (StageServer server : usable) {
-            double callRate = contract.slots() / (seconds * Math.max(1, server.slowness()));
-            poolRate += items * Math.min(callRate, gate.rate(server.listing(), now));
-        }
-        double higherPriorityRate = observed ? throughput(pool).rateBelow(rank, now) : 0;
-        double availableRate = Math.max(poolRate - higherPriorityRate, poolRate * MIN_SHARE);
-        double wait = Math.min(queue.countAhead(rank, now) / availableRate, MAX_WAIT_SECONDS);
+        double poolRate = estimates.poolRate(pool, contract, usable, now);
+        int countAhead = queue.countAhead(rank, now);
+        countAhead += withReserved ? reservations.itemsBefore(pool, rank, countAhead, poolRate, now) : 0;
+        double wait = Math.min(countAhead / estimates.availableRate(pool, rank, poolRate, now), MAX_WAIT_SECONDS);
         return Duration.ofNanos(Math.round(wait * NANOS_PER_SECOND));
     }
 
+    /** The expected duration of a full call, if it is observed and used instead of the configured one. */
+    public Optional<Duration> fullCallDuration(PoolId pool) {
+        return Optional.ofNullable(contracts.get(pool)).flatMap(contract -> estimates.fullCall(pool, contract));
+    }
+
+    /** Decides whether a pool can serve a step that will be ordered later, and reserves the capacity if so. */
+    public Reservation.Answer onReservation(Reservation wanted, BatchContract contract, Instant now) {
+        contracts.put(wanted.pool(), contract);
+        BatchQueue queue = queues.computeIfAbsent(wanted.pool(), this::newQueue);
+        PoolLoad load = estimates.load(wanted, contract, queue, usableServers(wanted.pool()), now);
+        Reservation.Answer answer = reservations.request(wanted, load, now);
+        output.logDecision(ReservationLedger.line(wanted, answer, now));
+        return answer;
+    }
+
+    private BatchQueue newQueue(PoolId pool) {
+        return new BatchQueue(features, estimates::nextCall);
+    }
+
+    /** Cancels a reservation whose request has ended. */
+    public void onReservationCancelled(OrderId id) {
+        reservations.cancel(id);
+    }
+
+    /** The number of items that are reserved at a pool. */
+    public int reserved(PoolId pool) {
+        return reservations.items(pool);
+    }
+
     /** The expected queue delay of an order of a rank, for a pool that is scheduled by this node. */
     public Duration queueDelayOf(PoolId pool, int rank, Instant now) {
-        return expectedWait(pool, rank, usableServers(pool), now);
+        return expectedWait(pool, rank, usableServers(pool), false, now);
     }
 
     /** The queue delays to publish to other nodes, which take them into account before they start a request. */
     public List<QueueDelayEstimate> waits(Instant now) {
         List<QueueDelayEstimate> waits = new ArrayList<>();
         for (PoolId pool : queues.keySet()) {
-            for (int rank : throughput(pool).ranks(now)) {
+            for (int rank : estimates.throughput(pool).ranks(now)) {
                 Duration wait = queueDelayOf(pool, rank, now);
                 if (wait.compareTo(MIN_PUBLISHED_WAIT) >= 0 && waits.size() < MAX_PUBLISHED_WAITS) {
                     waits.add(new QueueDelayEstimate(pool, rank, wait));
@@ -338,7 +375,7 @@
         server.onCallStarted();
         gate.onCall(server.listing());
         gate.onRequest(server.listing(), now);
-        throughput(server.listing().pool()).onCall(queuedItems.size(), contract.batch(), !queue.isEmpty());
+        estimates.throughput(server.listing().pool()).onCall(queuedItems.size(), contract.batch(), !queue.isEmpty());
         lastCallNumber++;
         Duration timeout = contract.callOf(queuedItems.size()).multipliedBy(CALL_TIMEOUT_FACTOR);
         BatchCall call = new BatchCall(lastCallNumber, server.listing(), items, timeout);
@@ -459,7 +496,9 @@
 
     private void onAnswered(ActiveCall activeCall, List<ItemAnswer> answers, Instant now) {
         Duration took = Duration.between(activeCall.startedAt(), now);
-        activeCall.server().onCallAnswered(took, expected(activeCall));
+        activeCall
+                .server()
+                .onCallAnswered(took, estimates.onAnswered(activeCall.pool(), activeCall.items(), answers, took));
         boolean anyFailed = answers.stream().anyMatch(ItemAnswer.Failed.class::isInstance);
         gate.onCallEnded(activeCall.server().listing(), anyFailed, took, expected(activeCall));
         for (int place = 0; place < activeCall.items().size(); place++) {
@@ -555,6 +594,9 @@
                 failOverdue(state, now);
             }
         }
+        for (Reservation expired : reservations.expire(now)) {
+            output.logDecision(ReservationLedger.expiryLine(expired));
+        }
         expireOutcomes(now);
         sendReleases(now);
     }
@@ -605,7 +647,10 @@
         notice.ifPresent(
                 announced -> gate.onAnswer(release.server().listing(), announced, done, release.sentAt(), now));
         if (done) {
+            long before = release.server().results().usedBytes();
             release.handles().forEach(release.server().results()::release);
+            long released = before - release.server().results().usedBytes();
+            estimates.recentReleases(release.server().listing().pool()).onReleased(released, now);
         }
     }
 
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/OrderState.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/OrderState.java
@@ -16,6 +16,7 @@
     private int failures;
     private int brokenCalls;
     private boolean ended;
+    private boolean reserved;
 
     OrderState(BatchOrder order, BatchContract contract) {
         this.order = order;
@@ -58,6 +59,15 @@
         return brokenCalls >= SHARED_BROKEN_CALLS;
     }
 
+    void markReserved() {
+        reserved = true;
+    }
+
+    /** Whether capacity had been reserved for it before it arrived. */
+    boolean reserved() {
+        return reserved;
+    }
+
     void end() {
         ended = true;
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Exchanges.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Exchanges.java
@@ -9,4 +9,8 @@
  * @param quarantine prompts that crash upstreams
  */
 record Exchanges(
-        RolloutExchange rollouts, NoticeExchange notices, StreamExchange streams, QuarantineExchange quarantine) {}
+        RolloutExchange rollouts,
+        NoticeExchange notices,
+        StreamExchange streams,
+        QuarantineExchange quarantine,
+        ReservationExchange reservations) {}
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -173,6 +173,11 @@
         orderTimes.put(step.number(), now);
     }
 
+    /** Whether a step has been ordered. */
+    boolean ordered() {
+        return !orderTimes.isEmpty();
+    }
+
     /** When a step was ordered; empty if it has not been ordered. */
     Optional<Instant> orderedAt(Step step) {
         return Optional.ofNullable(orderTimes.get(step.number()));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowSteps.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FlowSteps.java
@@ -20,6 +20,7 @@
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
+import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.route.BatchContract;
 import org.wagtaillug.route.PoolProfile;
 import org.wagtaillug.route.ServingConfiguration;
@@ -35,10 +36,13 @@
     private final StepTimes times;
     private final StepDurations durations = new StepDurations();
     private final BranchTiming branches = new BranchTiming(durations);
+    private final StepArrivals arrivals;
     private final PolicyFeatures features;
     private final Map<RequestId, List<Long>> orderNumbers = new HashMap<>();
     private final Map<RequestId, Map<Integer, VmId>> schedulers = new HashMap<>();
     private final LikelyUpstream likelyUpstream;
+    private final ReservationExchange reservations;
+    private final Refusals refusals;
     private ServingConfiguration configuration;
 
     /** Predicts the upstream of a request. */
@@ -47,15 +51,26 @@
         Optional<DomainId> expectedDomain(Flow flow, Instant now);
     }
 
+    /** Ends requests that can't be served. */
+    interface Refusals {
+        /** Refuses a request, as not run if no upstream has received it. */
+        void refuse(Flow flow, ResultCode code, Duration retryAfter, String message, Instant now);
+    }
+
     FlowSteps(
             UpstreamDirectory directory,
             StepOrders orders,
             StepTimes times,
             LikelyUpstream likelyUpstream,
+            ReservationExchange reservations,
+            Refusals refusals,
             PolicyFeatures features) {
         this.likelyUpstream = likelyUpstream;
+        this.reservations = reservations;
+        this.refusals = refusals;
         this.directory = directory;
         this.orders = orders;
+        this.arrivals = new StepArrivals(durations, orders);
         this.times = times;
         this.features = features;
     }
@@ -65,8 +80,11 @@
         configuration = latest;
     }
 
-    /** Returns the steps to order now. */
+    /** Returns the steps to order now; refuses the request if a pool on its path has no capacity for it. */
     List<Step> due(Flow flow, Instant now) {
+        if (!admitted(flow, now)) {
+            return List.of();
+        }
         List<Step> due = new ArrayList<>();
         for (Step step : flow.readySteps()) {
             if (!features.uses(PolicyFeature.TIMELY_BRANCHES) || branches.startsNow(flow, step, now)) {
@@ -76,6 +94,32 @@
         return due;
     }
 
+    private boolean admitted(Flow flow, Instant now) {
+        return switch (reservations.admission(flow, configuration, timing(flow, now), now)) {
+            case ReservationExchange.Admission.Admitted ignored -> true;
+            case ReservationExchange.Admission.Awaited ignored -> false;
+            case ReservationExchange.Admission.Refused refused -> {
+                String message = "pool \"" + refused.pool() + "\" has no capacity in time";
+                refusals.refuse(flow, ResultCode.STEP_OVERLOADED, refused.retryAfter(), message, now);
+                yield false;
+            }
+        };
+    }
+
+    private ReservationExchange.Timing timing(Flow flow, Instant now) {
+        return new ReservationExchange.Timing() {
+            @Override
+            public Duration until(Step step) {
+                return arrivals.until(flow, step, configuration, now);
+            }
+
+            @Override
+            public BatchOrder.Urgency urgency(Step step) {
+                return times.urgency(flow, step, configuration, now);
+            }
+        };
+    }
+
     /** The expected waiting time of an order with this rank at a pool. */
     Duration queueDelayOf(PoolId pool, int rank, Instant now) {
         return orders.queueDelayOf(pool, rank, now);
@@ -108,6 +152,7 @@
                         OrderContext.NONE),
                 contract.get(),
                 now);
+        reservations.onOrdered(flow, step, now);
         return true;
     }
 
@@ -165,6 +210,7 @@
     /** Withdraws the orders of a request and releases its results. */
     void endRequest(Flow flow, Instant now) {
         withdraw(flow, now);
+        reservations.endRequest(flow.request().id());
         releaseAll(flow);
         schedulers.remove(flow.request().id());
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/PathEstimate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/PathEstimate.java
@@ -4,10 +4,8 @@
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
+import org.wagtaillug.batch.BatchScheduler;
 import org.wagtaillug.id.PoolId;
-import org.wagtaillug.route.BatchContract;
-import org.wagtaillug.route.PoolProfile;
 import org.wagtaillug.route.ServingConfiguration;
 import org.wagtaillug.route.Step;
 
@@ -35,6 +33,13 @@
     record Path(Duration waits, Duration total) {
         private static final Path NONE = new Path(Duration.ZERO, Duration.ZERO);
 
+        /** By how much the time exceeds a latency target and the time that an item may wait past it; zero if it does not. */
+        Duration excess(Duration latencyTarget) {
+            Duration excess = total.minus(latencyTarget).minus(BatchScheduler.LATE_GRACE);
+            // A retry that comes after its latency target must not be refused for missing it while its pools are idle.
+            return waits.isZero() || excess.isNegative() ? Duration.ZERO : excess;
+        }
+
         private Path plus(Duration wait, Duration work) {
             return new Path(waits.plus(wait), total.plus(wait).plus(work));
         }
@@ -52,13 +57,18 @@
         Map<Integer, Path> known = new HashMap<>();
         Path longest = Path.NONE;
         for (Step last : flow.finalSteps()) {
-            longest = longest.max(pathTo(flow, last, configuration, waitTimes, known));
+            longest = longest.max(pathTo(flow, last, configuration, waitTimes, known, now));
         }
         return longest.plus(Duration.ZERO, times.engineTime(flow, now));
     }
 
     private Path pathTo(
-            Flow flow, Step step, ServingConfiguration configuration, WaitTimes waitTimes, Map<Integer, Path> known) {
+            Flow flow,
+            Step step,
+            ServingConfiguration configuration,
+            WaitTimes waitTimes,
+            Map<Integer, Path> known,
+            Instant now) {
         Path computed = known.get(step.number());
         if (computed != null) {
             return computed;
@@ -66,18 +76,12 @@
         Path inputs = Path.NONE;
         for (Step predecessor : flow.steps()) {
             if (step.predecessors().contains(predecessor.number())) {
-                inputs = inputs.max(pathTo(flow, predecessor, configuration, waitTimes, known));
+                inputs = inputs.max(pathTo(flow, predecessor, configuration, waitTimes, known, now));
             }
         }
-        Path path = inputs.plus(waitTimes.of(step.pool(), flow.rank()), workTime(flow, step, configuration));
+        Duration wait = waitTimes.of(step.pool(), flow.rank());
+        Path path = inputs.plus(wait, times.workTime(flow, step, configuration, wait.isPositive(), now));
         known.put(step.number(), path);
         return path;
     }
-
-    private static Duration workTime(Flow flow, Step step, ServingConfiguration configuration) {
-        Optional<BatchContract> contract = configuration.pool(step.pool()).flatMap(PoolProfile::items);
-        int items = flow.request().itemsOf(step.number());
-        return contract.map(batching -> batching.callOf(Math.min(items, batching.batch())))
-                .orElse(Duration.ZERO);
-    }
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -13,7 +13,6 @@
 import java.util.function.Consumer;
 import org.wagtaillug.batch.BatchOrder;
 import org.wagtaillug.batch.BatchOutcome;
-import org.wagtaillug.batch.BatchScheduler;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
@@ -112,10 +111,16 @@
         this.log = new FlowLog(effects);
         this.refusals = new ArrivalRefusals(effects, log);
         this.selection = new AttemptSelection(upstreams, chooser, rollouts, streams, log);
-        StepTimes times = new StepTimes(engineTimes, features);
+        StepTimes times = new StepTimes(engineTimes, features, orders.calls());
         this.pathEstimate = new PathEstimate(times);
         this.steps = new FlowSteps(
-                directory, orders, times, (flow, now) -> selection.expectedDomain(flow, configuration, now), features);
+                directory,
+                orders,
+                times,
+                (flow, now) -> selection.expectedDomain(flow, configuration, now),
+                exchanges.reservations(),
+                this::refuse,
+                features);
         this.retries = new RetryDecisions(setup, roster, remainingTime, shutdown, quarantine, log);
         this.shutdown = shutdown;
         this.effects = effects;
@@ -208,9 +213,8 @@
         }
         PathEstimate.Path estimate =
                 pathEstimate.estimate(flow, configuration, (pool, rank) -> steps.queueDelayOf(pool, rank, now), now);
-        Duration excess = estimate.total().minus(flow.route().latencyTarget()).minus(BatchScheduler.LATE_GRACE);
-        // A retry that comes after its latency target must not be refused for missing it while its pools are idle.
-        if (estimate.waits().isZero() || !excess.isPositive()) {
+        Duration excess = estimate.excess(flow.route().latencyTarget());
+        if (!excess.isPositive()) {
             return false;
         }
         long millis = estimate.total().toMillis();
@@ -259,6 +263,11 @@
         }
     }
 
+    /** Continues a request for which a scheduler has answered. */
+    void onReservationAnswered(RequestId id, Instant now) {
+        advance(flows.get(id), now);
+    }
+
     void onStepAnswer(StepOrders.Answer answer, Instant now) {
         BatchOrder order = answer.order();
         Flow flow = flows.get(order.request());
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -16,6 +16,7 @@
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.message.ServingMessage;
@@ -73,6 +74,7 @@
     private final StreamExchange streams;
     private final QuarantineExchange quarantine;
     private final StepOrders orders;
+    private final ReservationExchange reservations;
     private final RequestFlows flows;
     private final Shutdown shutdown;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -94,7 +96,8 @@
         notices = new NoticeExchange(directory, roster, wallClock, contention, effects::add);
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
-        orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
+        orders = new StepOrders(setup, peers, directory, callGate, contention, effects::add, () -> !shutdown.started());
+        reservations = new ReservationExchange(setup.self(), contention, peers, orders, effects::add);
         streams = new StreamExchange(setup, peers, () -> !shutdown.started(), effects::add);
         quarantine = new QuarantineExchange(setup, peers, () -> !shutdown.started(), effects::add);
         flows = new RequestFlows(
@@ -108,7 +111,7 @@
                         contention),
                 roster,
                 orders,
-                new Exchanges(rollouts, notices, streams, quarantine),
+                new Exchanges(rollouts, notices, streams, quarantine, reservations),
                 shutdown,
                 effects::add);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, currentTime));
@@ -344,9 +347,13 @@
                 flows.onStreamsAnswered(now);
             }
             case ServingMessage.ResultsReleased released -> orders.scheduler().onReleased(released.results());
-            case ServingMessage.ReservationRequest ignored -> {}
-            case ServingMessage.ReservationReply ignored -> {}
-            case ServingMessage.ReservationCancellation ignored -> {}
+            case ServingMessage.ReservationRequest request ->
+                contractOf(request.pool())
+                        .ifPresent(contract -> reservations.onRequest(sender, request, contract, now));
+            case ServingMessage.ReservationReply reply ->
+                reservations.onReply(sender.vm(), reply, now).ifPresent(id -> flows.onReservationAnswered(id, now));
+            case ServingMessage.ReservationCancellation cancellation ->
+                reservations.onCancellation(sender, cancellation);
             case ServingMessage.AssignmentRequest ignored -> {}
             case ServingMessage.AssignmentReply ignored -> {}
             case ServingMessage.AssignmentUpdate ignored -> {}
@@ -360,9 +367,12 @@
         }
     }
 
+    private Optional<BatchContract> contractOf(PoolId pool) {
+        return configuration.flatMap(latest -> latest.pool(pool)).flatMap(PoolProfile::items);
+    }
+
     private void onBatchRequest(NodeId sender, ServingMessage.BatchRequest request, Instant now) {
-        Optional<BatchContract> contract =
-                configuration.flatMap(latest -> latest.pool(request.pool())).flatMap(PoolProfile::items);
+        Optional<BatchContract> contract = contractOf(request.pool());
         if (contract.isEmpty()) {
             // This node does not know the pool yet; the sender repeats the order.
             return;
@@ -516,7 +526,7 @@
 
     /** Returns the time until the next tick is due, in the current state of the node. */
     public Duration tickInterval() {
-        if (shutdown.started() || !orders.scheduler().idle()) {
+        if (shutdown.started() || !orders.scheduler().idle() || reservations.awaited()) {
             return SCHEDULING_TICK;
         }
         boolean starting = !reportedReady.orElse(false);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -27,6 +26,7 @@
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.node.Decision;
 import org.wagtaillug.peer.Peers;
+import org.wagtaillug.policy.ContentionSwitch;
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.route.BatchContract;
 
@@ -51,6 +51,7 @@
     private final Consumer<ServingEffect> effects;
     private final BooleanSupplier acceptsWork;
     private final BatchScheduler scheduler;
+    private final ObservedCalls calls;
     private final Map<Long, PendingOrder> pending = new HashMap<>();
     private final Map<Long, VmId> answeredBy = new LinkedHashMap<>() {
         @Override
@@ -91,6 +92,7 @@
             Peers peers,
             UpstreamDirectory directory,
             CallGate gate,
+            ContentionSwitch contention,
             Consumer<ServingEffect> effects,
             BooleanSupplier acceptsWork) {
         this.self = setup.self();
@@ -98,7 +100,8 @@
         this.peers = peers;
         this.effects = effects;
         this.acceptsWork = acceptsWork;
-        this.scheduler = new BatchScheduler(directory, new SchedulerOutput(), setup.features(), gate);
+        this.scheduler = new BatchScheduler(directory, new SchedulerOutput(), setup.features(), gate, contention);
+        this.calls = new ObservedCalls(contention, scheduler::fullCallDuration);
     }
 
     /** Sets the receiver of answers to this node's orders. */
@@ -110,6 +113,11 @@
         return scheduler;
     }
 
+    /** The durations of calls to the pools, whichever nodes schedule them. */
+    ObservedCalls calls() {
+        return calls;
+    }
+
     /** Returns a new order id. */
     OrderId nextId() {
         lastNumber++;
@@ -133,7 +141,8 @@
                 : peers.queueDelayOf(currentScheduler, pool, rank);
     }
 
-    private VmId schedulerOf(PoolId pool, Instant now) {
+    /** The node that schedules a pool; its servers are tracked there. */
+    VmId schedulerOf(PoolId pool, Instant now) {
         return sharesScheduling
                 ? peers.dutyHolder(PeerMembership.scheduling(pool), acceptsWork.getAsBoolean(), now)
                 : self.vm();
@@ -221,6 +230,10 @@
 
     /** Processes the answer of the scheduling node to an order. */
     void onBatchReply(NodeId sender, ServingMessage.BatchReply reply, Instant now) {
+        PendingOrder entry = pending.get(reply.number());
+        if (entry != null) {
+            calls.onReported(entry.order.pool(), reply.callDuration(), now);
+        }
         answer(reply.number(), reply.outcome(), sender.vm(), now);
     }
 
@@ -329,7 +342,9 @@
                 return;
             }
             effects.accept(new ServingEffect.SendToPeer(
-                    origin.vm(), new ServingMessage.BatchReply(order.id().number(), outcome, Optional.empty())));
+                    origin.vm(),
+                    new ServingMessage.BatchReply(
+                            order.id().number(), outcome, scheduler.fullCallDuration(order.pool()))));
         }
 
         @Override
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepTimes.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepTimes.java
@@ -7,6 +7,7 @@
 import org.wagtaillug.policy.PolicyFeature;
 import org.wagtaillug.policy.PolicyFeatures;
 import org.wagtaillug.route.BatchContract;
+import org.wagtaillug.route.PoolProfile;
 import org.wagtaillug.route.ServingConfiguration;
 import org.wagtaillug.route.Step;
 
@@ -26,14 +27,16 @@
 
     private final EngineTimes engines;
     private final PolicyFeatures features;
+    private final ObservedCalls calls;
 
-    StepTimes(EngineTimes engines, PolicyFeatures features) {
+    StepTimes(EngineTimes engines, PolicyFeatures features, ObservedCalls calls) {
+        this.calls = calls;
         this.engines = engines;
         this.features = features;
     }
 
     Urgency urgency(Flow flow, Step step, ServingConfiguration configuration, Instant now) {
-        Duration remaining = timeAfter(flow, step, configuration).plus(engineTime(flow, now));
+        Duration remaining = timeAfter(flow, step, configuration, now).plus(engineTime(flow, now));
         Instant targetTime = flow.arrivedAt().plus(flow.route().latencyTarget()).minus(remaining);
         return new Urgency(flow.rank(), targetTime, flow.firstEventDeadline().minus(remaining));
     }
@@ -48,29 +51,48 @@
         return engines.expected(flow.pool(), tokens, now).orElse(assumed);
     }
 
+    /**
+     * The expected duration of the calls of a step, as part of the time of a request.
+     *
+     * @param waits whether the pool has a queue; if so, its calls are full, and otherwise they hold few items
+     */
+    Duration workTime(Flow flow, Step step, ServingConfiguration configuration, boolean waits, Instant now) {
+        int items = flow.request().itemsOf(step.number());
+        return configuration
+                .pool(step.pool())
+                .flatMap(PoolProfile::items)
+                .map(contract -> calls.callOf(
+                        step.pool(),
+                        contract,
+                        waits && calls.used() ? contract.batch() : Math.min(items, contract.batch()),
+                        now))
+                .orElse(Duration.ZERO);
+    }
+
     /** The critical path through the steps after a given one. */
-    private static Duration timeAfter(Flow flow, Step step, ServingConfiguration configuration) {
+    private Duration timeAfter(Flow flow, Step step, ServingConfiguration configuration, Instant now) {
         Duration longest = Duration.ZERO;
         for (Step next : flow.steps()) {
             if (next.predecessors().contains(step.number())) {
-                Duration path = duration(flow, next, configuration).plus(timeAfter(flow, next, configuration));
+                Duration path =
+                        duration(flow, next, configuration, now).plus(timeAfter(flow, next, configuration, now));
                 longest = path.compareTo(longest) > 0 ? path : longest;
             }
         }
         return longest;
     }
 
-    private static Duration duration(Flow flow, Step step, ServingConfiguration configuration) {
+    private Duration duration(Flow flow, Step step, ServingConfiguration configuration, Instant now) {
         int items = flow.request().itemsOf(step.number());
         return configuration
                 .pool(step.pool())
                 .flatMap(pool -> pool.items())
-                .map(contract -> fullCall(contract, items))
+                .map(contract -> fullCall(step, contract, items, now))
                 .orElse(Duration.ZERO);
     }
 
     /** Assumes full calls, as calls are full under the load at which urgency matters. */
-    private static Duration fullCall(BatchContract contract, int items) {
-        return contract.callOf(Math.max(contract.batch(), items));
+    private Duration fullCall(Step step, BatchContract contract, int items, Instant now) {
+        return calls.callOf(step.pool(), contract, Math.max(contract.batch(), items), now);
     }
 }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/PathEstimateTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/PathEstimateTest.java
@@ -36,7 +36,8 @@
             .build();
 
     private final EngineTimes engines = new EngineTimes();
-    private final PathEstimate pathEstimate = new PathEstimate(new StepTimes(engines, PolicyFeatures.ALL));
+    private final PathEstimate pathEstimate =
+            new PathEstimate(new StepTimes(engines, PolicyFeatures.ALL, ObservedCalls.none()));
 
     private static ServingConfiguration configuration() {
         BatchContract contract =
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -17,6 +17,7 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.wagtaillug.batch.BatchCall;
 import org.wagtaillug.batch.BatchCallEnd;
 import org.wagtaillug.batch.BatchCallEnd.ItemAnswer;
@@ -42,6 +43,7 @@
 import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.message.ServingMessage;
 import org.wagtaillug.notice.UpstreamNotice;
+import org.wagtaillug.policy.Contention;
 import org.wagtaillug.quarantine.QuarantineReport;
 import org.wagtaillug.rollout.RolloutOrder;
 import org.wagtaillug.rollout.RolloutStatus;
@@ -112,6 +114,12 @@
     /** By how much the wall clocks of nodes are ahead of the time. */
     final Map<VmId, Duration> wallClockErrors = new HashMap<>();
 
+    /** When the features for contended upstreams take effect on nodes that are started from now on. */
+    Contention contention = Contention.ANNOUNCED;
+
+    /** Messages that are lost. */
+    Predicate<ServingMessage> lost = message -> false;
+
     Duration answerDelay = MESSAGE_DELAY;
     Instant now = START;
     private final Duration grace;
@@ -161,6 +169,7 @@
                 .startedAt(Instant.ofEpochMilli(incarnation))
                 .drainGrace(grace)
                 .acceptsTunnels(true)
+                .contention(earlierBuilds.contains(vm) ? Contention.OFF : contention)
                 .build();
         nodes.put(vm, new Serving(setup));
         incarnations.put(vm, incarnation);
@@ -422,7 +431,7 @@
                 boolean isolated = isolatedNodes.contains(vm) || isolatedNodes.contains(send.receiver());
                 boolean understood = !aboutStreams(send.message())
                         || !(earlierBuilds.contains(vm) || earlierBuilds.contains(send.receiver()));
-                if (!isolated && understood) {
+                if (!isolated && understood && !lost.test(send.message())) {
                     schedule(
                             MESSAGE_DELAY.plus(delay(send)),
                             send.receiver(),
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -337,7 +337,7 @@
     }
 
     private void logDecision(Decision decision) {
-        metrics.recordDecision(decision.kind());
+        metrics.recordDecision(decision);
         decisions.add(decision, clock.now());
     }
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -85,7 +85,7 @@
             case ServingEffect.LimitsChanged changed -> parts.handler().limits(changed.limits());
             case ServingEffect.ReadinessChanged changed -> updateReadiness(changed);
             case ServingEffect.LogDecision log -> {
-                parts.metrics().recordDecision(log.decision().kind());
+                parts.metrics().recordDecision(log.decision());
                 parts.decisions().add(log.decision(), parts.clock().get());
             }
             case ServingEffect.CloseIdleConnections ignored ->
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedMetrics.java
@@ -5,11 +5,16 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Map;
 import org.wagtaillug.daemon.metrics.MetricsText;
+import org.wagtaillug.node.Decision;
 import org.wagtaillug.serving.ServingEffect;
 
 /** Counts requests and decisions. Names and labels are listed in docs/OPERATIONS.md. */
 final class RoutedMetrics {
+    /** The decision on a reservation at the scheduler of its pool. */
+    private static final String RESERVATION = "reserve";
+
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double[] BUCKETS_SECONDS = {0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
 
@@ -27,6 +32,13 @@
             .labelNames("kind")
             .register(registry);
 
+    private final Counter reservations = Counter.builder()
+            .name("wagtaillug_routed_reservations_total")
+            .help(
+                    "Reservations of pool capacity that this node has granted or refused as scheduler, or whose orders did not come")
+            .labelNames("pool", "outcome")
+            .register(registry);
+
     /** Records the end of a request. */
     void recordRequest(String route, ServingEffect.Outcome outcome, Duration took) {
         requestSeconds
@@ -35,8 +47,12 @@
     }
 
     /** Records a decision. */
-    void recordDecision(String kind) {
-        decisions.labelValues(kind).inc();
+    void recordDecision(Decision decision) {
+        decisions.labelValues(decision.kind()).inc();
+        if (decision.kind().equals(RESERVATION)) {
+            Map<String, String> fields = decision.fields();
+            reservations.labelValues(fields.get("pool"), fields.get("outcome")).inc();
+        }
     }
 
     /** All metrics in Prometheus's text format. */
