--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -16,6 +16,7 @@
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.health.UpstreamHealth;
 import org.wagtaillug.id.NodeId;
+import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.load.ContentionReport;
 import org.wagtaillug.load.LoadView;
@@ -76,6 +77,7 @@
     private final QuarantineExchange quarantine;
     private final AssignmentExchange assignments;
     private final StepOrders orders;
+    private final ReservationExchange reservations;
     private final RequestFlows flows;
     private final Shutdown shutdown;
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -99,7 +101,8 @@
         notices = new NoticeExchange(directory, roster, wallClock, contention, loadView, effects::add);
         CallGate callGate = new NoticeCallGate(rollouts.callGate(), notices);
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
-        orders = new StepOrders(setup, peers, directory, callGate, effects::add, () -> !shutdown.started());
+        orders = new StepOrders(setup, peers, directory, callGate, contention, effects::add, () -> !shutdown.started());
+        reservations = new ReservationExchange(setup.self(), contention, peers, orders, effects::add);
         streams = new StreamExchange(setup, peers, () -> !shutdown.started(), effects::add);
         quarantine = new QuarantineExchange(setup, peers, () -> !shutdown.started(), effects::add);
         UpstreamState upstreams = new UpstreamState(
@@ -117,7 +120,7 @@
                 upstreams,
                 roster,
                 orders,
-                new Exchanges(rollouts, notices, streams, quarantine, assignments),
+                new Exchanges(rollouts, notices, streams, quarantine, assignments, reservations),
                 shutdown,
                 effects::add);
         orders.onAnswer(answer -> flows.onStepAnswer(answer, currentTime));
@@ -364,9 +367,13 @@
                 flows.onStreamsAnswered(now);
             }
             case ServingMessage.ResultsReleased released -> orders.scheduler().onReleased(released.results());
-            case ServingMessage.ReservationRequest ignored -> {}
-            case ServingMessage.ReservationReply ignored -> {}
-            case ServingMessage.ReservationCancellation ignored -> {}
+            case ServingMessage.ReservationRequest request ->
+                contractOf(request.pool())
+                        .ifPresent(contract -> reservations.onRequest(sender, request, contract, now));
+            case ServingMessage.ReservationReply reply ->
+                reservations.onReply(sender.vm(), reply, now).ifPresent(id -> flows.onReservationAnswered(id, now));
+            case ServingMessage.ReservationCancellation cancellation ->
+                reservations.onCancellation(sender, cancellation);
             case ServingMessage.AssignmentRequest request -> assignments.onRequest(sender, request, now);
             case ServingMessage.AssignmentReply reply -> {
                 assignments.onReply(sender, reply, now);
@@ -383,9 +390,12 @@
         }
     }
 
+    private Optional<BatchContract> contractOf(PoolId pool) {
+        return configuration.flatMap(latest -> latest.pool(pool)).flatMap(PoolProfile::items);
+    }
+
     private void onBatchRequest(NodeId sender, ServingMessage.BatchRequest request, Instant now) {
-        Optional<BatchContract> contract =
-                configuration.flatMap(latest -> latest.pool(request.pool())).flatMap(PoolProfile::items);
+        Optional<BatchContract> contract = contractOf(request.pool());
         if (contract.isEmpty()) {
             // This node does not know the pool yet; the sender repeats the order.
             return;
@@ -541,7 +551,8 @@
 
     /** Returns the time until the next tick is due, in the current state of the node. */
     public Duration tickInterval() {
-        if (shutdown.started() || !orders.scheduler().idle() || assignments.busy()) {
+        boolean awaitsReplies = assignments.busy() || reservations.awaited();
+        if (shutdown.started() || !orders.scheduler().idle() || awaitsReplies) {
             return SCHEDULING_TICK;
         }
         boolean starting = !reportedReady.orElse(false);
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -122,10 +122,12 @@
     /** Gets the attempts that nodes send. */
     BiConsumer<VmId, SendOrder> onSend = (sender, order) -> {};
 
+    /** When the features for contended upstreams take effect on nodes that are started from now on. */
+    Contention contention = Contention.ANNOUNCED;
+
     Duration answerDelay = MESSAGE_DELAY;
     Instant now = START;
     private final Duration grace;
-    private final Contention contention;
     private final PolicyFeatures features;
     private final Map<VmId, Long> incarnations = new HashMap<>();
     private final Map<VmId, SteadyClock> clocks = new HashMap<>();
@@ -180,7 +182,7 @@
                 .startedAt(Instant.ofEpochMilli(incarnation))
                 .drainGrace(grace)
                 .acceptsTunnels(true)
-                .contention(contention)
+                .contention(earlierBuilds.contains(vm) ? Contention.OFF : contention)
                 .features(features)
                 .build();
         nodes.put(vm, new Serving(setup));
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedEffects.java
@@ -90,7 +90,7 @@
             case ServingEffect.CountAssignment counted ->
                 parts.metrics().recordAssignment(counted.pool(), counted.event());
             case ServingEffect.LogDecision log -> {
-                parts.metrics().recordDecision(log.decision().kind());
+                parts.metrics().recordDecision(log.decision());
                 parts.decisions().add(log.decision(), parts.clock().get());
             }
             case ServingEffect.LoadObserved observed -> parts.metrics().recordLoad(observed);
