--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
@@ -116,12 +116,17 @@
      * exchange is ended because its readers are slow.
      */
     void watch(Runnable callerDisconnected) {
+        boolean endedBefore;
         synchronized (this) {
             onDisconnect = Optional.of(callerDisconnected);
+            endedBefore = ended;
             if (!closed && !complete) {
                 watch = Optional.of(CallerWatch.start(request, callerDisconnected));
             }
         }
+        if (endedBefore) {
+            callerDisconnected.run();
+        }
         if (body.length > 0) {
             bytes.addBody(body.length);
         }
