--- a/wagtaillug-core/src/main/java/org/wagtaillug/load/LoadEstimate.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/load/LoadEstimate.java
@@ -57,8 +57,9 @@
      * @param inFlight the requests of this node that are in flight there
      */
     public Duration completion(VmId upstream, Duration perRequest, int inFlight, Instant now) {
-        double requests = inFlight + 1 + view.excess(upstream, now);
-        return Duration.ofNanos(Math.round(perRequest.toNanos() * requests * view.slowdown(upstream, now)));
+        LoadView.Influence influence = view.influence(upstream, now);
+        double requests = inFlight + 1 + influence.excess();
+        return Duration.ofNanos(Math.round(perRequest.toNanos() * requests * influence.slowdown()));
     }
 
     /**
@@ -69,8 +70,8 @@
      *     are not reported
      */
     public long tokensToRead(VmId upstream, long tokens, int promptTokens, Instant now) {
-        double waiting = view.waiting(upstream, now) * promptTokens;
-        return Math.round((tokens + waiting) * view.slowdown(upstream, now));
+        LoadView.Influence influence = view.influence(upstream, now);
+        return Math.round((tokens + influence.waiting() * promptTokens) * influence.slowdown());
     }
 
     /** The position of an upstream among those of equal cost, which differs from node to node; the lowest is chosen. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/load/LoadView.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/load/LoadView.java
@@ -21,6 +21,8 @@
     static final Duration HALF_LIFE = Duration.ofMillis(300);
 
     private static final double NEUTRAL = 1;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double DECAY_PER_NANO = Math.log(2) / HALF_LIFE.toNanos();
 
     private final Map<VmId, Report> reports = new HashMap<>();
 
@@ -40,17 +42,12 @@
 
     /** How long work is expected to take, as a multiple of the usual time; 1 without a recent report, never below 1. */
     public double slowdown(VmId upstream, Instant now) {
-        Report report = reports.get(upstream);
-        if (report == null) {
-            return NEUTRAL;
-        }
-        return NEUTRAL + Math.max(0, report.load().slowdown() - NEUTRAL) * weight(report, now);
+        return influence(upstream, now).slowdown();
     }
 
     /** The number of requests that are expected to wait for a slot; 0 without a recent report. */
     public double waiting(VmId upstream, Instant now) {
-        Report report = reports.get(upstream);
-        return report == null ? 0 : report.load().waiting() * weight(report, now);
+        return influence(upstream, now).waiting();
     }
 
     /**
@@ -58,13 +55,7 @@
      * report.
      */
     public double excess(VmId upstream, Instant now) {
-        Report report = reports.get(upstream);
-        if (report == null) {
-            return 0;
-        }
-        ServerLoad load = report.load();
-        double beyond = Math.max(0, (double) load.running() + load.waiting() - load.slots());
-        return beyond / Math.max(1, load.slots()) * weight(report, now);
+        return influence(upstream, now).excess();
     }
 
     /** The time since the newest report of an upstream; empty if there is none. */
@@ -72,9 +63,35 @@
         return Optional.ofNullable(reports.get(upstream)).map(report -> Duration.between(report.at(), now));
     }
 
+    /**
+     * What the newest report of an upstream counts for now; read at once, as a choice reads it for each upstream of a pool.
+     *
+     * @param slowdown as {@link #slowdown}
+     * @param waiting as {@link #waiting}
+     * @param excess as {@link #excess}
+     */
+    record Influence(double slowdown, double waiting, double excess) {
+        private static final Influence NONE = new Influence(NEUTRAL, 0, 0);
+    }
+
+    Influence influence(VmId upstream, Instant now) {
+        Report report = reports.get(upstream);
+        if (report == null) {
+            return Influence.NONE;
+        }
+        ServerLoad load = report.load();
+        double weight = weight(report, now);
+        double beyond = Math.max(0, (double) load.running() + load.waiting() - load.slots());
+        return new Influence(
+                NEUTRAL + Math.max(0, load.slowdown() - NEUTRAL) * weight,
+                load.waiting() * weight,
+                beyond / Math.max(1, load.slots()) * weight);
+    }
+
     private static double weight(Report report, Instant now) {
-        double age = Math.max(0, Duration.between(report.at(), now).toNanos());
-        return Math.pow(0.5, age / HALF_LIFE.toNanos());
+        Instant at = report.at();
+        double age = (now.getEpochSecond() - at.getEpochSecond()) * NANOS_PER_SECOND + now.getNano() - at.getNano();
+        return age <= 0 ? 1 : Math.exp(-age * DECAY_PER_NANO);
     }
 
     /** Forgets the report of an upstream that has restarted. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/routing/UpstreamChooser.java
@@ -220,14 +220,13 @@
         lastHomes = homes;
         Upstream best = null;
         long fewestTokens = Long.MAX_VALUE;
-        long highestScore = Long.MIN_VALUE;
         for (Upstream upstream : candidates) {
             long tokens = tokensToRead(upstream, prompt, homes, now);
-            long score = rendezvous.score(rendezvousKey, upstream.id().value());
-            if (best == null || tokens < fewestTokens || (tokens == fewestTokens && score > highestScore)) {
+            if (best == null
+                    || tokens < fewestTokens
+                    || (tokens == fewestTokens && precedes(upstream, best, rendezvousKey))) {
                 best = upstream;
                 fewestTokens = tokens;
-                highestScore = score;
             }
         }
         return best;
@@ -242,6 +241,11 @@
         return Math.max(0, own);
     }
 
+    private boolean precedes(Upstream upstream, Upstream other, String rendezvousKey) {
+        return rendezvous.score(rendezvousKey, upstream.id().value())
+                > rendezvous.score(rendezvousKey, other.id().value());
+    }
+
     private long tokensToRead(Upstream upstream, Prompt prompt, List<Set<VmId>> homes, Instant now) {
         long tokens = queuedPromptTokens.getOrDefault(upstream.id(), 0L)
                 + (long) health.inFlight(upstream.id()) * DECODE_LOAD_TOKENS;
