--- a/wagtaillug-core/src/main/java/org/wagtaillug/policy/ContentionSwitch.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/policy/ContentionSwitch.java
@@ -5,7 +5,7 @@
  * node restarts.
  *
  * <pre>{@code
- * if (contention.uses(PolicyFeature.FAIR_SHARES)) {
+ * if (contention.uses(PolicyFeature.LOAD_VIEW)) {
  *     ...
  * }
  * }</pre>
--- a/wagtaillug-core/src/main/java/org/wagtaillug/policy/PolicyFeature.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/policy/PolicyFeature.java
@@ -43,12 +43,8 @@
     PATH_RESERVATIONS,
     /** Estimates use observed durations of calls instead of the configured ones. Takes effect only under contention. */
     OBSERVED_CALLS,
-    /** Customers share a pool that has less capacity than is asked for. Takes effect only under contention. */
-    FAIR_SHARES,
     /** Engines are told the priorities of requests. Takes effect only under contention. */
     ENGINE_PRIORITIES,
-    /** Refused callers get a place in the schedule of the pool that refused them. Takes effect only under contention. */
-    KEPT_PLACES,
     /** Bounds what this node holds for callers and upstreams that read slowly. Takes effect only under contention. */
     READER_LIMITS
 }
