Requests that arrive before an answer is complete lose no bytes

What callers saw: a request with a body of more than 8 KB, sent right after an answer on a kept connection, was never answered, and the connection stayed open and silent. Pipelined requests reached upstreams with bytes of the next body in theirs.

Cause: CallerWatch read up to 16,384 bytes beside the server and handed them to HttpConnection.onUpgradeTo, which appends to a request buffer of 8,192 bytes, also if that holds bytes already. BufferUtil.append drops without a sign what does not fit. A plain answer was written in two writes, so that its caller could send the next request while the watch still read.

Ruled out: a race of stop() with a fill (the bytes are lost without one, too), and the size of the body limit.

Change: the watch keeps what it reads in the connection's end point (CallerEndPoint), from which the server reads in order before it reads the socket. There is no second buffer whose size could differ. A complete answer is one write.

--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/CallerConnector.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/CallerConnector.java
@@ -4,11 +4,15 @@
 import java.net.StandardSocketOptions;
 import java.nio.channels.NetworkChannel;
 import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
@@ -58,6 +62,13 @@
         };
     }
 
+    @Override
+    protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+        CallerEndPoint endPoint = new CallerEndPoint(channel, selector, key, getScheduler(), getExecutor());
+        endPoint.setIdleTimeout(getIdleTimeout());
+        return endPoint;
+    }
+
     /** The number of connections that have been accepted and not closed. */
     int openConnections() {
         return opening.get() + getConnectedEndPoints().size();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedExchange.java
@@ -165,8 +165,7 @@
     /** Forwards a complete answer. */
     synchronized void forward(CompleteAnswer answer) {
         startAnswer(answer.status(), answer.head(), answer.body().length);
-        write(answer.body());
-        end();
+        writeLast(answer.body());
     }
 
     /** Whether the header of an answer was sent. */
@@ -210,6 +209,17 @@
         writeNext();
     }
 
+    /** Sends the rest of the body in one write: a caller that has the whole answer may send its next request at once. */
+    private void writeLast(byte[] rest) {
+        if (complete || closed) {
+            return;
+        }
+        pending.add(rest, maxPart());
+        bytes.addAnswer(rest.length);
+        complete = true;
+        writeNext();
+    }
+
     /** Completes the answer. */
     synchronized void end() {
         if (complete || closed) {
@@ -342,8 +352,7 @@
         HttpFields.Mutable fields =
                 HttpFields.build(refusalHead.apply(refusal)).put(HttpHeader.CONTENT_TYPE, REFUSAL_TYPE);
         startAnswer(refusal.code().status(), fields, text.length);
-        write(text);
-        end();
+        writeLast(text);
         return true;
     }
 
