A request whose body never ends is refused at its caller's deadline

What callers saw: a request whose body stops arriving was never answered; its connection stayed open until the caller closed it. A request with a slow body was given its whole timeout again once the body was there.

Cause: the idle timeout of the server is switched off for a request from its head on, and the timer of the request started only after its body.

Change: the head is decoded before the body is received. The body has the time that the caller waits, at most a minute, and is then refused with 408, not run; the time that it took is part of the time that the caller waits.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RoutedRequest.java
@@ -45,6 +45,23 @@
         promptSegments = List.copyOf(promptSegments);
     }
 
+    /** The same request when some of the time that its caller waits has passed. */
+    public RoutedRequest after(Duration elapsed) {
+        Duration left = callerTimeout.minus(elapsed);
+        return new RoutedRequest(
+                id,
+                host,
+                path,
+                callerKey,
+                left.isNegative() ? Duration.ZERO : left,
+                items,
+                itemKey,
+                promptSegments,
+                promptTokens,
+                maxOutputTokens,
+                resumption);
+    }
+
     /** The segments that other requests may share; the last one belongs to this request or to its session. */
     public List<PrefixSegment> sharedSegments() {
         return promptSegments.isEmpty() ? List.of() : promptSegments.subList(0, promptSegments.size() - 1);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/body/RequestBody.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/body/RequestBody.java
@@ -85,6 +85,9 @@
 
     /** Ends the reception for the given reason if it is not complete after a time. */
     public void endAfter(Duration timeout, BodyEnd reason) {
+        if (hasEnded()) {
+            return;
+        }
         Scheduler.Task task = request.getComponents()
                 .getScheduler()
                 .schedule(() -> end(reason), timeout.toNanos(), TimeUnit.NANOSECONDS);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
@@ -25,6 +25,9 @@
 
 /** Receives the requests of callers, for any host and path. */
 final class RoutedHandler extends Handler.Abstract.NonBlocking {
+    /** Upper limit of the time to receive a body, for callers that wait longer for their answer or name no time. */
+    private static final Duration MAX_BODY_TIME = Duration.ofMinutes(1);
+
     private final CallerTranslation translation;
     private final RoutedExchanges exchanges;
     private final CallerConnections connections;
@@ -59,22 +62,36 @@
         connections.onRequest(request);
         // Requests end at their deadline, not when the connection is idle until the answer.
         request.addIdleTimeoutListener(timeout -> false);
+        Instant headReadAt = clock.get();
+        Either<Refusal, RoutedRequest> head =
+                translation.read(host(request), request.getHttpURI().getPathQuery(), request.getHeaders());
         int maxBytes = limits.bodyBytes();
         RequestBody body = new RequestBody(request, callback, maxBytes, (self, end, completion) -> {
             pendingBodies.remove(self);
-            onBodyEnd(end, maxBytes, new Exchange(request, response, completion));
+            onBodyEnd(end, maxBytes, new Exchange(head, headReadAt, request, response, completion));
         });
-        pendingBodies.add(body, clock.get());
+        pendingBodies.add(body, headReadAt);
         body.receive();
+        body.endAfter(head.fold(refusal -> MAX_BODY_TIME, RoutedHandler::bodyTime), new BodyEnd.TimedOut());
         return true;
     }
 
-    private record Exchange(Request request, Response response, Callback callback) {}
+    /** A caller that sends its body for longer than it waits for the answer cannot be served. */
+    private static Duration bodyTime(RoutedRequest request) {
+        return request.callerTimeout().compareTo(MAX_BODY_TIME) < 0 ? request.callerTimeout() : MAX_BODY_TIME;
+    }
+
+    /** A request whose head has been read at a time. */
+    private record Exchange(
+            Either<Refusal, RoutedRequest> head,
+            Instant headReadAt,
+            Request request,
+            Response response,
+            Callback callback) {}
 
     private void onBodyEnd(BodyEnd end, int maxBytes, Exchange exchange) {
         switch (end) {
-            case BodyEnd.Received body ->
-                onBodyRead(exchange.request(), exchange.response(), exchange.callback(), body.bytes());
+            case BodyEnd.Received body -> onBodyRead(exchange, body.bytes());
             case BodyEnd.TooLong ignored -> refuseUnread(tooLarge(maxBytes), exchange);
             case BodyEnd.Incomplete ignored -> refuseUnread(bodyCut("the body is incomplete"), exchange);
             case BodyEnd.TimedOut ignored -> refuseUnread(bodyCut("the body was not complete in time"), exchange);
@@ -115,15 +132,17 @@
         return Refusal.notRun(ResultCode.TOO_LARGE, Duration.ZERO, message);
     }
 
-    private void onBodyRead(Request request, Response response, Callback callback, byte[] body) {
-        Either<Refusal, RoutedRequest> read =
-                translation.read(host(request), request.getHttpURI().getPathQuery(), request.getHeaders());
-        if (read.isLeft()) {
-            refuse(read.getLeft(), request, response, callback);
+    private void onBodyRead(Exchange received, byte[] body) {
+        Request request = received.request();
+        Response response = received.response();
+        Callback callback = received.callback();
+        if (received.head().isLeft()) {
+            refuse(received.head().getLeft(), request, response, callback);
             return;
         }
+        RoutedRequest routed = received.head().get().after(Duration.between(received.headReadAt(), clock.get()));
         RoutedExchange exchange = new RoutedExchange(
-                read.get(),
+                routed,
                 request,
                 response,
                 callback,
@@ -132,7 +151,7 @@
                 refusal -> refusalHeaders(refusal, request),
                 readerLimits);
         if (!exchanges.add(exchange)) {
-            String message = "a request with id \"" + read.get().id() + "\" is in flight; expected a unique request id";
+            String message = "a request with id \"" + routed.id() + "\" is in flight; expected a unique request id";
             refuse(Refusal.notRun(ResultCode.REQUEST_IN_FLIGHT, Duration.ZERO, message), request, response, callback);
             return;
         }
