Streams that are not named do not go on at another version after nodes have started

What callers saw: after all nodes had been killed, streams that callers took up without naming them were answered with 200 and joined from two versions.

Cause: whether a pool has served at one version only was judged by what the process itself had seen in the last minute. A node that has just started, joined or come back from a partition has not seen the versions that have left.

Ruled out: streams that are named; they are found at the replicas or in the store, or are refused.

Change: the node that writes the origins of streams also records the versions of the last minute, at each change, under a condition that keeps what others have written. Before a stream that is not named goes on, the record is read.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -187,12 +187,18 @@
         return now.isBefore(restartSuspectedUntil.getOrDefault(id, Instant.EPOCH));
     }
 
-    /** The versions at which a pool has served recently, those of removed upstreams included. */
-    public Set<VersionKey> recentVersions(PoolId pool) {
+    /** The versions of the listed upstreams of a pool. */
+    public Set<VersionKey> listedVersions(PoolId pool) {
         Set<VersionKey> versions = new HashSet<>();
         for (Upstream upstream : byPool.getOrDefault(pool, new TreeMap<>()).values()) {
             versions.add(VersionKey.of(upstream.listing().version()));
         }
+        return versions;
+    }
+
+    /** The versions of the upstreams of a pool that are listed, or that this process has seen being removed recently. */
+    public Set<VersionKey> recentVersions(PoolId pool) {
+        Set<VersionKey> versions = listedVersions(pool);
         for (Removal removal : removals.values()) {
             if (removal.listing().pool().equals(pool)) {
                 versions.add(VersionKey.of(removal.listing().version()));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/FeedName.java
@@ -39,6 +39,16 @@
         public boolean relayed() {
             return false;
         }
+    },
+    /**
+     * The versions at which pools have served recently, written by one node; read by that node, and on demand by nodes whose
+     * callers take up streams without naming them.
+     */
+    POOL_VERSIONS(Duration.ZERO, Duration.ofSeconds(30)) {
+        @Override
+        public boolean relayed() {
+            return false;
+        }
     };
 
     /** Added to the time between two reads, for a slow response and the message that relays it. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
@@ -243,7 +243,7 @@
         }
         Optional<RequestId> stream = flow.request().resumption().flatMap(Resumption::stream);
         if (stream.isEmpty()) {
-            return streams.onlyOrigin(flow, directory.recentVersions(flow.pool()), now);
+            return streams.onlyOrigin(flow, now);
         }
         StreamExchange.Finding finding = streams.find(stream.get(), now);
         if (finding instanceof StreamExchange.Finding.Found found
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -53,8 +53,8 @@
     private final Map<FeedName, Boolean> reachable = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Instant> restoredAt = new EnumMap<>(FeedName.class);
     private BiConsumer<FeedName, Instant> restored = (name, at) -> {};
-    private final Set<FeedName> active =
-            EnumSet.complementOf(EnumSet.of(FeedName.ROLLOUTS, FeedName.STREAMS, FeedName.QUARANTINE));
+    private final Set<FeedName> active = EnumSet.complementOf(
+            EnumSet.of(FeedName.ROLLOUTS, FeedName.STREAMS, FeedName.QUARANTINE, FeedName.POOL_VERSIONS));
     private boolean reader = true;
 
     /** Applies feed records. */
@@ -141,6 +141,11 @@
         return peers.noneReadsStore(now) ? Confirmation.CONFIRMED : Confirmation.IMPOSSIBLE;
     }
 
+    /** Whether a read of a feed that began at a time or later has been answered. */
+    boolean readSince(FeedName name, Instant time) {
+        return readers.get(name).confirmedSince(time);
+    }
+
     /** Returns the position after the last known record. */
     long position(FeedName name) {
         return position(feeds.get(name));
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.wagtaillug.batch.CallGate;
 import org.wagtaillug.clock.WallClock;
 import org.wagtaillug.directory.Listing;
@@ -73,6 +74,7 @@
     private final RolloutExchange rollouts;
     private final NoticeExchange notices;
     private final UpstreamPaths paths;
+    private final VersionHistory versions;
     private final StreamExchange streams;
     private final QuarantineExchange quarantine;
     private final AssignmentExchange assignments;
@@ -103,7 +105,9 @@
         paths = new UpstreamPaths(setup, directory, health, peers, effects::add);
         orders = new StepOrders(setup, peers, directory, callGate, contention, effects::add, () -> !shutdown.started());
         reservations = new ReservationExchange(setup.self(), contention, peers, orders, effects::add);
-        streams = new StreamExchange(setup, peers, () -> !shutdown.started(), effects::add);
+        versions = new VersionHistory(
+                directory, time -> feeds.readSince(FeedName.POOL_VERSIONS, time), feeds::storeLost, effects::add);
+        streams = new StreamExchange(setup, peers, versions, () -> !shutdown.started(), effects::add);
         quarantine = new QuarantineExchange(setup, peers, () -> !shutdown.started(), effects::add);
         UpstreamState upstreams = new UpstreamState(
                 directory,
@@ -155,11 +159,11 @@
             case ServingEvent.PeerDisconnected disconnected -> peers.onDisconnected(disconnected.peer(), now);
             case ServingEvent.FeedListed listed -> {
                 feeds.onListed(listed, now);
-                flows.onDirectoryRead(now);
+                onFeedAnswered(listed.feed(), now);
             }
             case ServingEvent.FeedRead read -> {
                 feeds.onRead(read, now);
-                flows.onDirectoryRead(now);
+                onFeedAnswered(read.feed(), now);
             }
             case ServingEvent.FeedTruncated truncated -> feeds.onTruncated(truncated.feed(), now);
             case ServingEvent.FeedFailed failed -> {
@@ -185,6 +189,10 @@
             sendQuarantineReports(now);
         }
         feeds.setActive(FeedName.ROLLOUTS, rollouts.inProgress());
+        feeds.setActive(FeedName.POOL_VERSIONS, versions.active(now));
+        if (versions.readDue(now)) {
+            feeds.request(FeedName.POOL_VERSIONS, now);
+        }
         feeds.read(now);
         reportReadiness();
         enableReaderLimits();
@@ -200,6 +208,13 @@
         }
     }
 
+    private void onFeedAnswered(FeedName name, Instant now) {
+        if (name == FeedName.POOL_VERSIONS) {
+            flows.onStreamsAnswered(now);
+        }
+        flows.onDirectoryRead(now);
+    }
+
     private void onConnectEnded(ServingEvent.ConnectEnded ended, Instant now) {
         if (ended.failure().isPresent()) {
             directory.find(ended.upstream()).ifPresent(upstream -> quarantine.onConnectionRefused(upstream, now));
@@ -212,6 +227,7 @@
         log(Decision.builder("wall_clock").field("offset_ms", offset.toMillis()).field("change_ms", change.toMillis()));
         if (change.compareTo(MIN_SUSPENSION) > 0) {
             feeds.onSuspended();
+            versions.onSuspended();
         }
     }
 
@@ -220,6 +236,7 @@
             case MEMBERSHIP -> membership.onRecordWritten(written, now);
             case STREAMS -> streams.onWritten(written);
             case QUARANTINE -> quarantine.onWritten(written, now);
+            case POOL_VERSIONS -> versions.onWritten(now);
             case CONFIGURATION, DIRECTORY, ROLLOUTS -> {
                 // A rollout status that was not written is written again when it is due.
             }
@@ -257,6 +274,7 @@
         feeds.setReader(membership.readsStore(now));
         streams.onTick(feeds.fresh(FeedName.STREAMS, now), now);
         feeds.setActive(FeedName.STREAMS, streams.isReplica());
+        recordVersions(now);
         quarantine.onTick(now);
         feeds.setActive(FeedName.QUARANTINE, quarantine.decides(now));
         if (quarantine.pollReadDue(now)) {
@@ -267,6 +285,15 @@
         feeds.catchUp(now);
     }
 
+    private void recordVersions(Instant now) {
+        boolean directoryKnown = feeds.complete(FeedName.DIRECTORY)
+                && (feeds.fresh(FeedName.DIRECTORY, now) || peers.noneReadsStore(now));
+        OptionalLong position = feeds.fresh(FeedName.POOL_VERSIONS, now)
+                ? OptionalLong.of(feeds.position(FeedName.POOL_VERSIONS))
+                : OptionalLong.empty();
+        versions.onTick(streams.isWriter(now), directoryKnown, position, now);
+    }
+
     private void sendQuarantineReports(Instant now) {
         for (VmId receiver : quarantine.pollReceivers(now)) {
             effects.add(new ServingEffect.SendToPeer(receiver, heartbeat(true, now)));
@@ -426,6 +453,10 @@
                 quarantine.onRecord(record, now);
                 yield true;
             }
+            case POOL_VERSIONS -> {
+                versions.onRecord(record, now);
+                yield true;
+            }
         };
     }
 
@@ -435,8 +466,10 @@
             case CONFIGURATION -> rollouts.onStoreRestored(now);
             case STREAMS -> streams.onStoreRestored();
             case QUARANTINE -> quarantine.onStoreRestored();
-            case DIRECTORY, ROLLOUTS -> {
-                // Upstreams write their entries again; statuses are written with those of the configuration.
+            case DIRECTORY, ROLLOUTS, POOL_VERSIONS -> {
+                // Upstreams write their entries again, statuses are written with those of the configuration, and
+                // versions
+                // when the earlier record has been read.
             }
         }
     }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StreamExchange.java
@@ -53,6 +53,7 @@
 
     private final VmId self;
     private final Peers peers;
+    private final VersionHistory history;
     private final BooleanSupplier acceptsWork;
     private final Consumer<ServingEffect> effects;
     private final StreamOrigins origins = new StreamOrigins();
@@ -86,9 +87,15 @@
         record Unknown(String reason) implements Finding {}
     }
 
-    StreamExchange(ServingSetup setup, Peers peers, BooleanSupplier acceptsWork, Consumer<ServingEffect> effects) {
+    StreamExchange(
+            ServingSetup setup,
+            Peers peers,
+            VersionHistory history,
+            BooleanSupplier acceptsWork,
+            Consumer<ServingEffect> effects) {
         this.self = setup.self().vm();
         this.peers = peers;
+        this.history = history;
         this.acceptsWork = acceptsWork;
         this.effects = effects;
     }
@@ -148,22 +155,28 @@
         };
     }
 
-    /**
-     * Where a stream may go on whose caller does not name it: where all upstreams of its pool are of one version.
-     *
-     * @param versions the versions at which the pool has served recently
-     */
-    Finding onlyOrigin(Flow flow, Set<VersionKey> versions, Instant now) {
-        if (versions.size() != 1) {
-            return new Finding.Unknown(
-                    "its caller names no earlier request, and its pool has served at several versions");
-        }
+    /** Where a stream may go on whose caller does not name it: where its pool has served at one version only. */
+    Finding onlyOrigin(Flow flow, Instant now) {
+        return switch (history.find(flow.pool(), flow.arrivedAt(), now)) {
+            case VersionHistory.Finding.Reading ignored -> new Finding.Searching();
+            case VersionHistory.Finding.Unknown ignored ->
+                new Finding.Unknown("its caller names no earlier request, and it is not known at which versions pool \""
+                        + flow.pool() + "\" has served");
+            case VersionHistory.Finding.Known known
+            when known.versions().size() != 1 ->
+                new Finding.Unknown("its caller names no earlier request, and pool \"" + flow.pool()
+                        + "\" has served at versions " + known.versions());
+            case VersionHistory.Finding.Known known ->
+                new Finding.Found(originAt(known.versions().iterator().next(), flow, now));
+        };
+    }
+
+    private StreamOrigin originAt(VersionKey version, Flow flow, Instant now) {
         RequestId stream = flow.request().id();
         Duration lifetime = Duration.between(now, flow.deadline()).plus(TAKE_UP_MARGIN);
-        StreamOrigin origin =
-                new StreamOrigin(stream, flow.pool(), versions.iterator().next(), Optional.empty(), lifetime);
+        StreamOrigin origin = new StreamOrigin(stream, flow.pool(), version, Optional.empty(), lifetime);
         origins.put(origin, now);
-        return new Finding.Found(origin);
+        return origin;
     }
 
     private void query(Instant now) {
@@ -244,6 +257,13 @@
         synchronizedReplicas = others;
     }
 
+    /** Whether this node writes to the store for all nodes. */
+    boolean isWriter(Instant now) {
+        return isReplica()
+                && peers.dutyHolder(PeerMembership.STREAM_WRITER_DUTY, acceptsWork.getAsBoolean(), now)
+                        .equals(self);
+    }
+
     /** Whether this node stores the origins of the streams of all nodes. */
     boolean isReplica() {
         return replicas.contains(self);
@@ -260,8 +280,7 @@
         begun.removeIf(stream -> origins.find(stream, now).isEmpty());
         updateReplicas(now);
         query(now);
-        VmId writer = peers.dutyHolder(PeerMembership.STREAM_WRITER_DUTY, acceptsWork.getAsBoolean(), now);
-        if (feedRead && writer.equals(self)) {
+        if (feedRead && isWriter(now)) {
             write(now);
         }
     }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/StreamFleet.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/StreamFleet.java
@@ -46,6 +46,9 @@
     /** The share of resumed attempts that break before their first event. */
     double brokenResumptions;
 
+    /** Whether callers name the stream that they take up. */
+    boolean callersNameStreams = true;
+
     private long lastRequest;
     private long lastIncarnation = 1;
 
@@ -104,10 +107,11 @@
             this.deadline = deadline;
         }
 
-        private Optional<Resumption> resumption() {
+        private Optional<Resumption> resumption(boolean named) {
             return events.isEmpty()
                     ? Optional.empty()
-                    : Optional.of(new Resumption(Integer.toString(events.getLast()), stream));
+                    : Optional.of(
+                            new Resumption(Integer.toString(events.getLast()), named ? stream : Optional.empty()));
         }
     }
 
@@ -197,6 +201,13 @@
         register(id);
     }
 
+    /** Lets an upstream leave and end, and removes its entry. */
+    void remove(VmId id) {
+        leave(id);
+        crash(id);
+        world.remove(FeedName.DIRECTORY, id.value());
+    }
+
     /** Ends an upstream in the middle of its streams; its entry stays. */
     void crash(VmId id) {
         if (servers.containsKey(id)) {
@@ -293,7 +304,11 @@
             caller.eventsWhenTakenUp = caller.events.size();
         }
         world.stream(
-                node, caller.request, "question", Duration.between(world.now, caller.deadline), caller.resumption());
+                node,
+                caller.request,
+                "question",
+                Duration.between(world.now, caller.deadline),
+                caller.resumption(callersNameStreams));
     }
 
     private long serving(Caller caller) {
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -314,6 +314,7 @@
             case ROLLOUTS -> FeedNameMessage.FEED_NAME_ROLLOUTS;
             case STREAMS -> FeedNameMessage.FEED_NAME_STREAMS;
             case QUARANTINE -> FeedNameMessage.FEED_NAME_QUARANTINE;
+            case POOL_VERSIONS -> FeedNameMessage.FEED_NAME_POOL_VERSIONS;
         };
     }
 
@@ -325,9 +326,11 @@
             case FEED_NAME_ROLLOUTS -> FeedName.ROLLOUTS;
             case FEED_NAME_STREAMS -> FeedName.STREAMS;
             case FEED_NAME_QUARANTINE -> FeedName.QUARANTINE;
+            case FEED_NAME_POOL_VERSIONS -> FeedName.POOL_VERSIONS;
             case FEED_NAME_UNSPECIFIED, UNRECOGNIZED ->
                 throw new IllegalArgumentException("invalid feed " + name
-                        + "; expected CONFIGURATION, DIRECTORY, MEMBERSHIP, ROLLOUTS, STREAMS or QUARANTINE");
+                        + "; expected CONFIGURATION, DIRECTORY, MEMBERSHIP, ROLLOUTS, STREAMS, QUARANTINE or"
+                        + " POOL_VERSIONS");
         };
     }
 
