Bodies of requests take a bounded part of the heap

What callers saw: after a burst of long bodies the node accepted connections, said that it was ready and answered nothing any more.

Cause: the bodies that are received at the same time were not bounded together, and each was kept in a buffer that doubles and is copied at the end. OutOfMemoryError ended threads, not the process.

Ruled out: the limit for slow readers; it is off here, and begins after the body.

Change: BodyMemory counts the bodies of all requests from the head until the request is completed, a third of the heap at most; bodies of up to 64 KiB always have room. A request whose declared length has no room is refused at once with 503 as not run; one in chunks when it outgrows the room. A declared body is received into one array. The same holds for both other handlers that receive bodies.

Evidence: BodyBurstTest on: heap full, the test does not end (15 lines with OutOfMemoryError); now 200 or 503 for each upload, and all later requests are served.

--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/administration/AdministrationHandler.java
@@ -25,6 +25,7 @@
 import org.wagtaillug.daemon.DecisionLog;
 import org.wagtaillug.daemon.Json;
 import org.wagtaillug.daemon.body.BodyEnd;
+import org.wagtaillug.daemon.body.BodyMemory;
 import org.wagtaillug.daemon.body.RequestBody;
 import org.wagtaillug.daemon.control.ControlThread;
 import org.wagtaillug.daemon.metrics.NodeMetrics;
@@ -57,6 +58,7 @@
     private final BooleanSupplier ready;
     private final LongSupplier linkBytes;
     private final Access access;
+    private final BodyMemory bodyMemory = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
 
     /** Creates the handler of the administration port. */
     public AdministrationHandler(
@@ -213,6 +215,7 @@
                 exchange.request(),
                 exchange.callback(),
                 MAX_BODY_BYTES,
+                bodyMemory,
                 (self, end, completion) -> onBodyEnd(end, holder.operator(), exchange.with(completion)));
         body.receive();
     }
@@ -224,6 +227,7 @@
                 String message = "the body is too long; expected at most " + MAX_BODY_BYTES + " bytes";
                 refuse(exchange, ResultCode.TOO_LARGE, message);
             }
+            case BodyEnd.NoMemory ignored -> refuse(exchange, BodyMemory.FULL.code(), BodyMemory.FULL.message());
             case BodyEnd.Incomplete ignored -> refuse(exchange, ResultCode.BODY_CUT, "the body is incomplete");
             case BodyEnd.TimedOut ignored -> refuse(exchange, ResultCode.BODY_CUT, "the body was not complete in time");
             case BodyEnd.ShutDown ignored ->
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/body/BodyEnd.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/body/BodyEnd.java
@@ -12,6 +12,9 @@
     /** The body is longer than allowed. */
     record TooLong() implements BodyEnd {}
 
+    /** The bodies of all requests together take as much memory as they may. */
+    record NoMemory() implements BodyEnd {}
+
     /** The caller stopped sending before the end of the body. */
     record Incomplete() implements BodyEnd {}
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/body/RequestBody.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/body/RequestBody.java
@@ -1,6 +1,5 @@
 package org.wagtaillug.daemon.body;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,7 +19,8 @@
  * {@link RefusedBody}.
  *
  * <pre>{@code
- * RequestBody body = new RequestBody(request, callback, maxBytes, (self, end, completion) -> answer(end, completion));
+ * RequestBody body = new RequestBody(
+ *         request, callback, maxBytes, memory, (self, end, completion) -> answer(end, completion));
  * body.receive();
  * }</pre>
  *
@@ -32,7 +32,7 @@
     private final int maxBytes;
     private final Listener listener;
     private final RefusedBody refusedBody;
-    private final ByteArrayOutputStream received = new ByteArrayOutputStream();
+    private final BodyBuffer received;
     private final List<Scheduler.Task> timeouts = new ArrayList<>();
     private boolean reading;
     private boolean ended;
@@ -55,13 +55,17 @@
      *
      * @param callback completes the request
      * @param maxBytes the maximum length of the body
+     * @param memory the memory of all bodies; the part of this one is released when the request is completed
      */
-    public RequestBody(Request request, Callback callback, int maxBytes, Listener listener) {
+    public RequestBody(Request request, Callback callback, int maxBytes, BodyMemory memory, Listener listener) {
         this.request = request;
         this.callback = callback;
         this.maxBytes = maxBytes;
         this.listener = listener;
         this.refusedBody = new RefusedBody(callback, request.getComponents().getScheduler());
+        BodyMemory.Reservation reservation = memory.open();
+        this.received = new BodyBuffer(reservation, request.getLength());
+        Request.addCompletionListener(request, failure -> reservation.close());
     }
 
     /**
@@ -69,17 +73,21 @@
      * body is then read and discarded before the request is completed.
      */
     public static Callback discard(Request request, Callback callback) {
-        RequestBody body = new RequestBody(request, callback, 0, (self, end, completion) -> {});
+        RequestBody body = new RequestBody(request, callback, 0, new BodyMemory(0), (self, end, completion) -> {});
         body.ended = true;
         return body.refusalWritten();
     }
 
-    /** Starts receiving. A request with a declared length above the maximum is refused before its body is read. */
+    /** Starts receiving. A request whose declared length is too long, or has no room, is refused before its body is read. */
     public void receive() {
         if (request.getLength() > maxBytes) {
             end(new BodyEnd.TooLong());
             return;
         }
+        if (!received.reserveDeclared()) {
+            end(new BodyEnd.NoMemory());
+            return;
+        }
         startReading();
     }
 
@@ -103,6 +111,7 @@
     /** Ends the reception for a reason other than the whole body; does nothing if it has ended. */
     public void end(BodyEnd reason) {
         if (markEnded()) {
+            received.discard();
             listener.onEnd(this, reason, refusalWritten());
         }
     }
@@ -164,13 +173,13 @@
         if (hasEnded()) {
             return;
         }
-        if (received.size() + bytes.remaining() > maxBytes) {
+        if (received.length() + bytes.remaining() > maxBytes) {
             end(new BodyEnd.TooLong());
             return;
         }
-        byte[] part = new byte[bytes.remaining()];
-        bytes.get(part);
-        received.writeBytes(part);
+        if (!received.append(bytes)) {
+            end(new BodyEnd.NoMemory());
+        }
     }
 
     private void onSendingEnded(boolean failed) {
@@ -178,7 +187,7 @@
             end(new BodyEnd.Incomplete());
         }
         if (!failed && markEnded()) {
-            listener.onEnd(this, new BodyEnd.Received(received.toByteArray()), callback);
+            listener.onEnd(this, new BodyEnd.Received(received.takeBytes()), callback);
             return;
         }
         refusedBody.onBodyEnded();
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/callers/CallersHandler.java
@@ -16,6 +16,7 @@
 import org.wagtaillug.clock.LeaseClock;
 import org.wagtaillug.daemon.Json;
 import org.wagtaillug.daemon.body.BodyEnd;
+import org.wagtaillug.daemon.body.BodyMemory;
 import org.wagtaillug.daemon.body.PendingBodies;
 import org.wagtaillug.daemon.body.RequestBody;
 import org.wagtaillug.node.Event;
@@ -35,6 +36,7 @@
     private final BooleanSupplier ready;
     private final Limits limits;
     private final PendingAnswers pendingAnswers = new PendingAnswers();
+    private final BodyMemory bodyMemory = BodyMemory.ofHeap(Runtime.getRuntime().maxMemory());
     private final PendingBodies pendingBodies = new PendingBodies();
     private volatile boolean draining;
 
@@ -120,10 +122,11 @@
 
     private void read(String path, Request request, Response response, Callback callback) {
         String template = path.substring(PATH_PREFIX.length(), path.length() - PATH_SUFFIX.length());
-        RequestBody body = new RequestBody(request, callback, limits.bodyBytes(), (self, end, completion) -> {
-            pendingBodies.remove(self);
-            onBodyEnd(template, end, new Exchange(request, response, completion));
-        });
+        RequestBody body =
+                new RequestBody(request, callback, limits.bodyBytes(), bodyMemory, (self, end, completion) -> {
+                    pendingBodies.remove(self);
+                    onBodyEnd(template, end, new Exchange(request, response, completion));
+                });
         pendingBodies.add(body, clock.now());
         body.endAfter(limits.senderTimeout(), new BodyEnd.TimedOut());
         body.receive();
@@ -135,6 +138,7 @@
         switch (end) {
             case BodyEnd.Received body -> onBodyRead(template, body.bytes(), exchange);
             case BodyEnd.TooLong ignored -> refuseUnread(tooLarge(), exchange);
+            case BodyEnd.NoMemory ignored -> refuseUnread(BodyMemory.FULL, exchange);
             case BodyEnd.TimedOut ignored -> refuseUnread(tooSlow(), exchange);
             case BodyEnd.Incomplete ignored -> refuseUnread(bodyCut("the body is incomplete"), exchange);
             case BodyEnd.ShutDown ignored -> refuseUnread(shuttingDown(), exchange);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -33,6 +33,7 @@
 import org.wagtaillug.clock.SteadyClock;
 import org.wagtaillug.clock.WallClockMonitor;
 import org.wagtaillug.daemon.ProcessRun;
+import org.wagtaillug.daemon.body.BodyMemory;
 import org.wagtaillug.daemon.control.ControlThread;
 import org.wagtaillug.daemon.translation.Translation;
 import org.wagtaillug.daemon.tunnel.PeerTunnels;
@@ -226,7 +227,14 @@
         start(singleUseClient);
         decisions = new AsyncDecisionLog();
         handler = new RoutedHandler(
-                translation.callers(), exchanges, connections, control::submit, clock::now, readerLimits);
+                translation.callers(),
+                exchanges,
+                connections,
+                control::submit,
+                clock::now,
+                readerLimits,
+                BodyMemory.ofHeap(Runtime.getRuntime().maxMemory()),
+                this::logDecision);
         link = openLink();
         RoutedSettings.Address tunnelAddress = tunnelAddress();
         tunnels = new TunnelServer(link.eventLoops(), tunnelAddress.host(), tunnelAddress.port(), control::submit);
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
@@ -13,10 +13,12 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.wagtaillug.daemon.body.BodyEnd;
+import org.wagtaillug.daemon.body.BodyMemory;
 import org.wagtaillug.daemon.body.PendingBodies;
 import org.wagtaillug.daemon.body.RequestBody;
 import org.wagtaillug.daemon.translation.CallerTranslation;
 import org.wagtaillug.id.RequestId;
+import org.wagtaillug.node.Decision;
 import org.wagtaillug.result.Refusal;
 import org.wagtaillug.result.ResultCode;
 import org.wagtaillug.route.CallerLimits;
@@ -34,6 +36,8 @@
     private final Consumer<ServingEvent> events;
     private final Supplier<Instant> clock;
     private final ReaderLimits readerLimits;
+    private final BodyMemory bodyMemory;
+    private final Consumer<Decision> decisions;
     private final PendingBodies pendingBodies = new PendingBodies();
     private volatile CallerLimits limits = CallerLimits.DEFAULT;
 
@@ -43,13 +47,17 @@
             CallerConnections connections,
             Consumer<ServingEvent> events,
             Supplier<Instant> clock,
-            ReaderLimits readerLimits) {
+            ReaderLimits readerLimits,
+            BodyMemory bodyMemory,
+            Consumer<Decision> decisions) {
         this.translation = translation;
         this.exchanges = exchanges;
         this.connections = connections;
         this.events = events;
         this.clock = clock;
         this.readerLimits = readerLimits;
+        this.bodyMemory = bodyMemory;
+        this.decisions = decisions;
     }
 
     /** Sets the limits for callers. */
@@ -66,7 +74,7 @@
         Either<Refusal, RoutedRequest> head =
                 translation.read(host(request), request.getHttpURI().getPathQuery(), request.getHeaders());
         int maxBytes = limits.bodyBytes();
-        RequestBody body = new RequestBody(request, callback, maxBytes, (self, end, completion) -> {
+        RequestBody body = new RequestBody(request, callback, maxBytes, bodyMemory, (self, end, completion) -> {
             pendingBodies.remove(self);
             onBodyEnd(end, maxBytes, new Exchange(head, headReadAt, request, response, completion));
         });
@@ -93,6 +101,7 @@
         switch (end) {
             case BodyEnd.Received body -> onBodyRead(exchange, body.bytes());
             case BodyEnd.TooLong ignored -> refuseUnread(tooLarge(maxBytes), exchange);
+            case BodyEnd.NoMemory ignored -> refuseUnread(BodyMemory.FULL, exchange);
             case BodyEnd.Incomplete ignored -> refuseUnread(bodyCut("the body is incomplete"), exchange);
             case BodyEnd.TimedOut ignored -> refuseUnread(bodyCut("the body was not complete in time"), exchange);
             case BodyEnd.ShutDown ignored -> refuseUnread(shuttingDown(), exchange);
@@ -110,6 +119,12 @@
 
     /** Refuses a request whose body may still be coming; its connection cannot be used again. */
     private void refuseUnread(Refusal refusal, Exchange exchange) {
+        decisions.accept(Decision.builder("body_refused")
+                .field("request", exchange.head().fold(malformed -> "", routed -> routed.id()))
+                .field("reason", refusal.code())
+                .field("length", exchange.request().getLength())
+                .field("all_bodies", bodyMemory.used())
+                .build());
         exchange.response().getHeaders().put(HttpHeader.CONNECTION, "close");
         refuse(refusal, exchange.request(), exchange.response(), exchange.callback());
     }
