Answers of stage servers are taken only for the request that they name

What callers saw: after one late second answer of a stage server, engines ran requests with the results of others, and callers got 200, as long as the connection lived.

Cause: calls to stage servers had no id, and any answer on the reused connection was taken for the next call's.

Ruled out: a mix-up in the scheduler; each call's items match what the server received.

Change: each call and each release has an id of its own. An answer that names another one, or none, ends its connection; the call counts as broken and its items are made again. An answer to a caller's request that says "not run" is compared as well, if it names a request.

--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
@@ -1,15 +1,20 @@
 package org.wagtaillug.daemon.routed;
 
+import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.security.SecureRandom;
+import java.util.HexFormat;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpMethod;
 import org.wagtaillug.batch.BatchCall;
@@ -20,7 +25,10 @@
 import org.wagtaillug.serving.ServingEffect;
 import org.wagtaillug.serving.ServingEvent;
 
-/** Sends batch calls and releases to stage servers. */
+/**
+ * Sends batch calls and releases to stage servers. Connections are reused, and a server may answer an earlier request once
+ * more; so each request has an id, and an answer with another one ends its connection.
+ */
 final class BatchCaller {
     private static final Logger LOGGER = System.getLogger(BatchCaller.class.getName());
 
@@ -37,6 +45,9 @@
     private final StageTranslation translation;
     private final Consumer<ServingEvent> events;
 
+    /** Starts at a random number, as the ids of different nodes must differ. */
+    private final AtomicLong lastId = new AtomicLong(new SecureRandom().nextLong());
+
     BatchCaller(HttpClient client, StageTranslation translation, Consumer<ServingEvent> events) {
         this.client = client;
         this.translation = translation;
@@ -95,10 +106,19 @@
     }
 
     private Request request(Listing upstream, String path, byte[] body) {
+        String id = HexFormat.of().toHexDigits(lastId.incrementAndGet());
         return client.newRequest(upstream.host(), upstream.port())
                 .method(HttpMethod.POST)
                 .path(path)
-                .headers(headers -> translation.addExpectedUpstream(upstream, headers))
-                .body(new BytesRequestContent(JSON, body));
+                .headers(headers -> translation.addHeaders(upstream, id, headers))
+                .body(new BytesRequestContent(JSON, body))
+                .onResponseHeaders(response -> requireAnswerTo(id, response));
+    }
+
+    private void requireAnswerTo(String id, Response response) {
+        Optional<String> answered = translation.answeredRequest(response.getHeaders());
+        if (!answered.filter(id::equals).isPresent()) {
+            response.abort(new IOException("the answer belongs to request " + answered.orElse("(not specified)")));
+        }
     }
 }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -91,7 +91,10 @@
     void onHeaders(Response response) {
         HttpFields head = response.getHeaders();
         int status = response.getStatus();
-        if (translation.notRun(status, head)) {
+        Optional<String> answered = translation.answeredRequest(head);
+        boolean ofAnother =
+                answered.filter(id -> !id.equals(order.request().value())).isPresent();
+        if (translation.notRun(status, head) && !ofAnother) {
             meaning = Meaning.NOT_RUN;
             notice = translation.notice(status, head);
             rejectedAtNanos = System.nanoTime();
@@ -99,8 +102,7 @@
             listener.onEnded(new SendEnd.NotRun(status), notice);
             return;
         }
-        Optional<String> answered = translation.answeredRequest(head);
-        if (answered.isEmpty() || !answered.get().equals(order.request().value())) {
+        if (answered.isEmpty() || ofAnother) {
             abort(response, "the answer belongs to request " + answered.orElse("(not specified)"));
             return;
         }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/StageTranslation.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/translation/StageTranslation.java
@@ -29,7 +29,11 @@
     byte[] encodeRelease(List<String> handles);
 
     /**
-     * Adds the intended upstream to the headers, so that another one at the same address does not execute the request.
+     * Adds the intended upstream to the headers, so that another one at the same address does not execute the request, and
+     * the id by which its answer is recognized.
      */
-    void addExpectedUpstream(Listing upstream, HttpFields.Mutable out);
+    void addHeaders(Listing upstream, String id, HttpFields.Mutable out);
+
+    /** Id of the request that an answer names as its own; empty if it names none. */
+    Optional<String> answeredRequest(HttpFields head);
 }
