--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -251,7 +251,7 @@
                         control::submit,
                         clock::now),
                 new UpstreamProber(singleUseClient, translation.upstreams(), control::submit),
-                new BatchCaller(pooledClient, translation.stages(), control::submit),
+                new BatchCaller(pooledClient, singleUseClient, translation.stages(), control::submit),
                 translation,
                 link,
                 tunnels,
