An entry that goes after the store's return is not held longer than those that reappear

What callers saw: for up to 2.4 s after a server's entry had gone, nodes that the store had turned away before sent requests to it.

Cause: an entry that goes within three seconds after a node's last failed read was held for two seconds from its removal. Entries that expired in the outage reappear within two seconds of the store's return; what goes later has left.

Ruled out: nodes that never learn of the removal; they read it in time.

Change: the hold ends two seconds after the return of the store, as this node or the one that relayed it has seen it. A line upstream_held tells each hold.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -20,12 +20,6 @@
 
 /** The registered upstreams, and which of them are eligible for new work. */
 public final class UpstreamDirectory {
-    /**
-     * Entries expire while their upstreams cannot reach the store, and reappear within two seconds of its recovery. Removing them
-     * immediately would leave pools without a server although all servers work.
-     */
-    private static final Duration OUTAGE_RECOVERY = Duration.ofSeconds(2);
-
     /** The number of restarts of an upstream that are remembered. */
     private static final int MAX_RESTARTS = 8;
 
@@ -108,14 +102,14 @@
     /**
      * Removes the entry of an upstream, after a delay if it is likely to reappear.
      *
-     * @param afterOutage whether the store was recently unavailable, so that the entry may reappear soon
+     * @param heldUntil until when the entry may reappear, as the store was unavailable
      */
-    public Change onRemoved(VmId id, boolean afterOutage, Instant now) {
+    public Change onRemoved(VmId id, Instant heldUntil, Instant now) {
         if (!upstreams.containsKey(id)) {
             return Change.NONE;
         }
-        if (afterOutage) {
-            pendingRemovals.putIfAbsent(id, now.plus(OUTAGE_RECOVERY));
+        if (heldUntil.isAfter(now)) {
+            pendingRemovals.putIfAbsent(id, heldUntil);
             return Change.NONE;
         }
         remove(id, now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -44,6 +44,12 @@
     /** For this long after an outage of the store, expired entries do not mean that their writers are gone. */
     private static final Duration OUTAGE_HOLD = Duration.ofSeconds(3);
 
+    /**
+     * Entries expire while their upstreams cannot reach the store, and reappear within this time of its return. Removing them
+     * immediately would leave pools without a server although all servers work.
+     */
+    private static final Duration OUTAGE_RECOVERY = Duration.ofSeconds(2);
+
     private final Peers peers;
     private final Consumer<ServingEffect> effects;
     private final RecordHandler handler;
@@ -52,6 +58,8 @@
     private final Map<FeedName, Instant> catchUpDue = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Boolean> reachable = new EnumMap<>(FeedName.class);
     private final Map<FeedName, Instant> restoredAt = new EnumMap<>(FeedName.class);
+    private final Map<FeedName, Instant> returnedAt = new EnumMap<>(FeedName.class);
+    private final Map<FeedName, Instant> relayedUnstableAt = new EnumMap<>(FeedName.class);
     private BiConsumer<FeedName, Instant> restored = (name, at) -> {};
     private final Set<FeedName> active = EnumSet.complementOf(
             EnumSet.of(FeedName.ROLLOUTS, FeedName.STREAMS, FeedName.QUARANTINE, FeedName.POOL_VERSIONS));
@@ -193,7 +201,7 @@
 
     void onListed(ServingEvent.FeedListed listed, Instant now) {
         FeedName name = listed.feed();
-        onReadSucceeded(name);
+        onReadSucceeded(name, now);
         boolean restoredNow = feeds.get(name).restoredBy(listed.end());
         long from = feeds.get(name).next();
         List<FeedRecord> listedRecords = readers.get(name).onListed(listed.records(), listed.more(), listed.end(), now);
@@ -205,6 +213,7 @@
 
     private void noteRestored(FeedName name, Instant now) {
         restoredAt.put(name, now);
+        returnedAt.put(name, now);
         log(Decision.builder("store_restored")
                 .field("feed", name)
                 .field("era", FeedPosition.era(feeds.get(name).next()))
@@ -214,7 +223,7 @@
 
     void onRead(ServingEvent.FeedRead read, Instant now) {
         FeedName name = read.feed();
-        onReadSucceeded(name);
+        onReadSucceeded(name, now);
         long from = feeds.get(name).next();
         boolean recentlyFailing = unstable(name, now);
         List<FeedRecord> changes = apply(name, readers.get(name).onRecords(read.batch(), now), recentlyFailing, now);
@@ -250,7 +259,10 @@
         return first;
     }
 
-    private void onReadSucceeded(FeedName name) {
+    private void onReadSucceeded(FeedName name, Instant now) {
+        if (readers.get(name).failing()) {
+            returnedAt.put(name, now);
+        }
         if (!Boolean.TRUE.equals(reachable.put(name, true))) {
             log(Decision.builder("store_regained").field("feed", name));
         }
@@ -267,11 +279,25 @@
                     new ServingEffect.SendToPeer(sender, new ServingMessage.FeedRequest(update.feed(), feed.next())));
             return;
         }
-        readers.get(update.feed()).onRelayed(now);
+        onRelayed(update, now);
         boolean storeUnstable = update.storeUnstable() || unstable(update.feed(), now);
         apply(update.feed(), applyRelayed(update.feed(), update.batch(), now), storeUnstable, now);
     }
 
+    private void onRelayed(ServingMessage.FeedUpdate update, Instant now) {
+        FeedName name = update.feed();
+        boolean wasFailing = readers.get(name).failing();
+        readers.get(name).onRelayed(now);
+        Instant lastUnstable = relayedUnstableAt.getOrDefault(name, Instant.EPOCH);
+        boolean firstUnstable = update.storeUnstable() && !now.isBefore(lastUnstable.plus(OUTAGE_HOLD));
+        if (update.storeUnstable()) {
+            relayedUnstableAt.put(name, now);
+        }
+        if (firstUnstable || (wasFailing && !readers.get(name).failing())) {
+            returnedAt.put(name, now);
+        }
+    }
+
     void onFeedCatchUp(ServingMessage.FeedCatchUp catchUp, Instant now) {
         List<FeedRecord> changed = applyRelayed(catchUp.feed(), catchUp.batch(), now);
         apply(catchUp.feed(), changed, unstable(catchUp.feed(), now), now);
@@ -294,6 +320,15 @@
         }
     }
 
+    /**
+     * When the entries that expired in the latest outage of the store have reappeared, if their upstreams live; in the future
+     * while this node cannot read the store.
+     */
+    Instant recoveryEnd(FeedName name, Instant now) {
+        Instant returned = readers.get(name).failing() ? now : returnedAt.getOrDefault(name, Instant.EPOCH);
+        return returned.plus(OUTAGE_RECOVERY);
+    }
+
     /** Whether the store was unreachable, or came back from an earlier copy, shortly before. */
     private boolean unstable(FeedName name, Instant now) {
         Instant restoredLast = restoredAt.getOrDefault(name, Instant.EPOCH);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -551,7 +551,14 @@
     }
 
     private void remove(VmId upstream, FeedRecord record, boolean storeUnstable, Instant now) {
-        logUpstream(upstream, directory.onRemoved(upstream, storeUnstable, now), record);
+        Instant heldUntil = storeUnstable ? feeds.recoveryEnd(FeedName.DIRECTORY, now) : now;
+        if (heldUntil.isAfter(now)) {
+            log(Decision.builder("upstream_held")
+                    .field("upstream", upstream)
+                    .field("for_ms", Duration.between(now, heldUntil).toMillis())
+                    .field("offset", FeedPosition.text(record.offset())));
+        }
+        logUpstream(upstream, directory.onRemoved(upstream, heldUntil, now), record);
     }
 
     private void logUpstream(VmId upstream, UpstreamDirectory.Change change, FeedRecord record) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/batch/BatchSchedulerTest.java
@@ -215,7 +215,7 @@
                 ended++;
                 callsAfter += next >= callsBefore ? 1 : 0;
                 callsBefore = ended == 3 ? output.calls.size() : callsBefore;
-                directory.onRemoved(call.upstream().id(), false, now);
+                directory.onRemoved(call.upstream().id(), now, now);
                 scheduler.onCallEnded(call.number(), new BatchCallEnd.Broken("reset"), now);
             }
             tick(Duration.ofMillis(20));
--- a/wagtaillug-core/src/test/java/org/wagtaillug/directory/UpstreamDirectoryTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/directory/UpstreamDirectoryTest.java
@@ -35,7 +35,7 @@
         // The entries of all servers expired during an outage of the store. Removing them immediately would empty every
         // pool although all servers work; keeping them forever would route requests to servers that died meanwhile.
         directory.onListing(listing(1, false), NOW);
-        directory.onRemoved(ID, true, NOW);
+        directory.onRemoved(ID, NOW.plusSeconds(2), NOW);
         assertThat(directory.usable(POOL)).hasSize(1);
         assertThat(directory.onTick(NOW.plusMillis(1999))).isEmpty();
         assertThat(directory.onTick(NOW.plusSeconds(2))).containsExactly(ID);
@@ -45,7 +45,7 @@
     @Test
     void anEntryThatReappearsAfterAnOutageIsNotRemoved() {
         directory.onListing(listing(1, false), NOW);
-        directory.onRemoved(ID, true, NOW);
+        directory.onRemoved(ID, NOW.plusSeconds(2), NOW);
         directory.onListing(listing(1, false), NOW.plusSeconds(1));
         assertThat(directory.onTick(NOW.plusSeconds(5))).isEmpty();
     }
@@ -53,7 +53,7 @@
     @Test
     void aRemovalWithoutAnOutageTakesEffectImmediately() {
         directory.onListing(listing(1, false), NOW);
-        assertThat(directory.onRemoved(ID, false, NOW)).isEqualTo(UpstreamDirectory.Change.LEFT);
+        assertThat(directory.onRemoved(ID, NOW, NOW)).isEqualTo(UpstreamDirectory.Change.LEFT);
         assertThat(directory.usable(ID)).isFalse();
     }
 
--- a/wagtaillug-core/src/test/java/org/wagtaillug/reachability/ReachabilityTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/reachability/ReachabilityTest.java
@@ -112,7 +112,7 @@
         lose(ORDERS);
         lose(ORDERS);
         long changes = reachability.changes();
-        directory.onRemoved(new VmId("orders-1"), false, now);
+        directory.onRemoved(new VmId("orders-1"), now, now);
         reachability.probesDue(now);
         assertThat(reachability.unreachable(ORDERS)).isFalse();
         assertThat(reachability.changes()).isGreaterThan(changes);
