--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/StoreReturnTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/StoreReturnTest.java
@@ -30,6 +30,17 @@
     private final Set<Instant> sends = new TreeSet<>();
     private int requests;
 
+    private void startServing() {
+        world.startServing();
+        world.onSend = (node, order) -> {
+            if (order.upstream().id().equals(LEAVING)) {
+                sends.add(world.now);
+            }
+            world.schedule(
+                    STEP, node, new ServingEvent.SendEnded(order.request(), order.attempt(), new SendEnd.Passed(true)));
+        };
+    }
+
     private void run(Duration time) {
         Instant end = world.now.plus(time);
         while (world.now.isBefore(end)) {
@@ -49,14 +60,7 @@
         "SILENT, 4, 1100", "SILENT, 4, 1900", "SILENT, 4, 2700"
     })
     void anEntryThatGoesAfterTheReturnIsHeldOnlyUntilOthersWouldBeBack(Outage outage, int nodes, int removedAfter) {
-        world.startServing();
-        world.onSend = (node, order) -> {
-            if (order.upstream().id().equals(LEAVING)) {
-                sends.add(world.now);
-            }
-            world.schedule(
-                    STEP, node, new ServingEvent.SendEnded(order.request(), order.attempt(), new SendEnd.Passed(true)));
-        };
+        startServing();
         run(Duration.ofSeconds(1));
         for (int node = 1; node <= nodes; node++) {
             outage.affected(world).add(ServingWorld.node(node));
@@ -79,14 +83,7 @@
     @ParameterizedTest
     @EnumSource(Outage.class)
     void anEntryThatExpiresInAnOutageIsHeldUntilTwoSecondsAfterTheReturn(Outage outage) {
-        world.startServing();
-        world.onSend = (node, order) -> {
-            if (order.upstream().id().equals(LEAVING)) {
-                sends.add(world.now);
-            }
-            world.schedule(
-                    STEP, node, new ServingEvent.SendEnded(order.request(), order.attempt(), new SendEnd.Passed(true)));
-        };
+        startServing();
         for (int node = 1; node <= NODES; node++) {
             outage.affected(world).add(ServingWorld.node(node));
         }
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/BatchCaller.java
@@ -44,7 +44,7 @@
     /** A release does not wait for a slot at the server; results that are not released expire with their lifetime. */
     private static final int RELEASE_TIMEOUT_MILLIS = 1000;
 
-    /** Servers of earlier runs stay among the known ones. */
+    /** Bounds the memory for servers that have ended. */
     private static final int MAX_IDENTIFYING = 10_000;
 
     private static final int OK = 200;
@@ -153,11 +153,11 @@
                     }
                 })
                 .body(new BytesRequestContent(JSON, body))
-                .onResponseHeaders(response -> check(response, upstream, id, idRequired));
+                .onResponseHeaders(response -> abortUnlessOwn(response, upstream, id, idRequired));
     }
 
     /** Aborts an answer that belongs to another request, or may do so. */
-    private void check(Response response, Listing upstream, String id, boolean idRequired) {
+    private void abortUnlessOwn(Response response, Listing upstream, String id, boolean idRequired) {
         Optional<String> answered = translation.answeredRequest(response.getHeaders());
         if (answered.filter(id::equals).isPresent()) {
             if (identifying.size() < MAX_IDENTIFYING) {
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedHandler.java
@@ -80,12 +80,12 @@
         });
         pendingBodies.add(body, headReadAt);
         body.receive();
-        body.endAfter(head.fold(refusal -> MAX_BODY_TIME, RoutedHandler::bodyTime), new BodyEnd.TimedOut());
+        body.endAfter(head.fold(refusal -> MAX_BODY_TIME, RoutedHandler::maxBodyTime), new BodyEnd.TimedOut());
         return true;
     }
 
     /** A caller that sends its body for longer than it waits for the answer cannot be served. */
-    private static Duration bodyTime(RoutedRequest request) {
+    private static Duration maxBodyTime(RoutedRequest request) {
         return request.callerTimeout().compareTo(MAX_BODY_TIME) < 0 ? request.callerTimeout() : MAX_BODY_TIME;
     }
 
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -92,9 +92,9 @@
         HttpFields head = response.getHeaders();
         int status = response.getStatus();
         Optional<String> answered = translation.answeredRequest(head);
-        boolean ofAnother =
+        boolean ofAnotherRequest =
                 answered.filter(id -> !id.equals(order.request().value())).isPresent();
-        if (translation.notRun(status, head) && !ofAnother) {
+        if (translation.notRun(status, head) && !ofAnotherRequest) {
             meaning = Meaning.NOT_RUN;
             notice = translation.notice(status, head);
             rejectedAtNanos = System.nanoTime();
@@ -102,7 +102,7 @@
             listener.onEnded(new SendEnd.NotRun(status), notice);
             return;
         }
-        if (answered.isEmpty() || ofAnother) {
+        if (answered.isEmpty() || ofAnotherRequest) {
             abort(response, "the answer belongs to request " + answered.orElse("(not specified)"));
             return;
         }
