Replies name the run that they are for: a restarted node no longer takes results that its previous run ordered

Cause: orders are numbered from 1 in each run, and a reply named the VM and the number only. After a restart, the reply to an order of the run before was taken for that to the order of the same number.

ServingCodecTest covers the wire.

Why it works: the run is part of the reply, and a run drops replies that name another one and releases their results. Numbers of runs do not overlap, so replies of earlier builds, which name no run, match nothing either. Schedulers withdraw orders of ended runs.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/BatchScheduler.java
@@ -17,6 +17,7 @@
 import org.wagtaillug.directory.Upstream;
 import org.wagtaillug.directory.UpstreamDirectory;
 import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.VmId;
 import org.wagtaillug.node.Decision;
@@ -265,6 +266,16 @@
                 id, new PublishedOutcome(new BatchOutcome.NotMade(BatchOutcome.Reason.LATE, Duration.ZERO), now));
     }
 
+    /** Withdraws the orders and cancels the reservations of the runs of a node before the given one, which have ended. */
+    public void onOriginRestarted(NodeId current, Instant now) {
+        for (OrderId id : List.copyOf(orders.keySet())) {
+            if (id.ofRunBefore(current)) {
+                onWithdrawn(id, now);
+            }
+        }
+        reservations.cancelBefore(current);
+    }
+
     /**
      * Removes an order if none of its items is finished or in progress, as if it had never arrived.
      *
--- a/wagtaillug-core/src/main/java/org/wagtaillug/batch/ReservationLedger.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/batch/ReservationLedger.java
@@ -212,6 +212,15 @@
         }
     }
 
+    /** Cancels the reservations of the runs of a node before the given one. */
+    void cancelBefore(NodeId current) {
+        for (OrderId id : List.copyOf(byId.keySet())) {
+            if (id.ofRunBefore(current)) {
+                cancel(id);
+            }
+        }
+    }
+
     /** Removes the reservations whose orders have not arrived, and returns them. */
     List<Reservation> expire(Instant now) {
         List<Reservation> expired = new ArrayList<>();
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantHolder.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/GrantHolder.java
@@ -204,7 +204,8 @@
         if (demand == 0 && upstream.inUse(now) == 0 && !upstream.isGrantedBy(owner.get())) {
             return;
         }
-        OwnerLink link = links.computeIfAbsent(owner.get(), id -> new OwnerLink());
+        OwnerLink link = links.computeIfAbsent(
+                owner.get(), id -> new OwnerLink(ownership.self().messageNumberBase()));
         if (link.silent(OWNER_TIMEOUT, now)) {
             upstream.markUngranted(link.unansweredSince().get(), now);
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/grant/OwnerLink.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/grant/OwnerLink.java
@@ -17,6 +17,11 @@
     private boolean acknowledgementDue;
     private boolean expedited;
 
+    /** Creates a link whose first request has the number after the given one. */
+    OwnerLink(long lastSequence) {
+        this.lastSequence = lastSequence;
+    }
+
     /** Records a grant request that is being sent and returns its sequence number. */
     long onRequestSent(Instant now) {
         lastSequence++;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/message/ServingMessage.java
@@ -12,6 +12,7 @@
 import org.wagtaillug.feed.FeedBatch;
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
@@ -140,14 +141,27 @@
             OrderContext context)
             implements ServingMessage {}
 
+    /** A response to a message that is identified by its number, which is unique within a run of its sender only. */
+    sealed interface Reply extends ServingMessage {
+        /** The run whose message it answers; empty if the sender's build does not name it. */
+        Optional<NodeId> recipient();
+
+        /** Whether it answers a message of a run, as far as the sender names the run. */
+        default boolean isFor(NodeId run) {
+            return recipient().isEmpty() || recipient().get().equals(run);
+        }
+    }
+
     /**
      * The response to {@link BatchRequest}.
      *
+     * @param recipient the run that ordered the items
      * @param number the number of the order
      * @param outcome the outcome of the order
      * @param callDuration the observed duration of a full call at the pool; empty if it is not known
      */
-    record BatchReply(long number, BatchOutcome outcome, Optional<Duration> callDuration) implements ServingMessage {}
+    record BatchReply(Optional<NodeId> recipient, long number, BatchOutcome outcome, Optional<Duration> callDuration)
+            implements Reply {}
 
     /**
      * Cancels an order of items.
@@ -247,13 +261,19 @@
     /**
      * The response to {@link ReservationRequest}.
      *
+     * @param recipient the run that asked for the reservation
      * @param number the number of the reservation
      * @param granted whether the capacity is reserved
      * @param retryAfter the time after which the pool will have capacity; zero if the reservation is granted
      * @param callDuration the observed duration of a full call at the pool; empty if it is not known
      */
-    record ReservationReply(long number, boolean granted, Duration retryAfter, Optional<Duration> callDuration)
-            implements ServingMessage {}
+    record ReservationReply(
+            Optional<NodeId> recipient,
+            long number,
+            boolean granted,
+            Duration retryAfter,
+            Optional<Duration> callDuration)
+            implements Reply {}
 
     /**
      * Cancels reservations, and tells of requests that have ended.
@@ -305,10 +325,11 @@
     /**
      * The response to {@link AssignmentRequest}.
      *
+     * @param recipient the run that asked
      * @param number the number of the request
      * @param engines the engines in order of preference; empty if the sender knows none
      */
-    record AssignmentReply(long number, List<VmId> engines) implements ServingMessage {
+    record AssignmentReply(Optional<NodeId> recipient, long number, List<VmId> engines) implements Reply {
         /** Makes a defensive copy of the list. */
         public AssignmentReply {
             engines = List.copyOf(engines);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/peer/Peers.java
@@ -137,6 +137,12 @@
         return restarted;
     }
 
+    /** Whether a run of a peer has ended, as a later run of the same VM has sent a heartbeat. */
+    public boolean ended(NodeId run) {
+        Peer peer = peers.get(run.vm());
+        return peer != null && run.incarnation() < peer.incarnation;
+    }
+
     /** A connection to a peer was established, over which a heartbeat is sent immediately. */
     public void onConnected(VmId id, Instant now) {
         peer(id).heartbeatSentAt = now;
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/AssignmentExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AssignmentExchange.java
@@ -84,6 +84,7 @@
             BooleanSupplier acceptsWork,
             Consumer<ServingEffect> effects) {
         this.self = setup.self().vm();
+        this.lastNumber = setup.self().messageNumberBase();
         this.peers = peers;
         this.directory = upstreams.directory();
         this.paths = upstreams.paths();
@@ -186,7 +187,7 @@
     void onRequest(NodeId sender, ServingMessage.AssignmentRequest request, Instant now) {
         List<VmId> engines = assigner.assign(sender.vm(), request, now);
         effects.accept(new ServingEffect.SendToPeer(
-                sender.vm(), new ServingMessage.AssignmentReply(request.number(), engines)));
+                sender.vm(), new ServingMessage.AssignmentReply(Optional.of(sender), request.number(), engines)));
     }
 
     /** Processes a reply; a late one is ignored. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/ReservationExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/ReservationExchange.java
@@ -109,6 +109,7 @@
     ReservationExchange(
             NodeId self, ContentionSwitch contention, Peers peers, StepOrders orders, Consumer<ServingEffect> effects) {
         this.self = self;
+        this.lastNumber = self.messageNumberBase();
         this.contention = contention;
         this.peers = peers;
         this.orders = orders;
@@ -312,6 +313,7 @@
         effects.accept(new ServingEffect.SendToPeer(
                 sender.vm(),
                 new ServingMessage.ReservationReply(
+                        Optional.of(sender),
                         request.number(),
                         answer.granted(),
                         answer.retryAfter(),
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -363,6 +363,10 @@
     }
 
     private void onPeerMessage(NodeId sender, ServingMessage message, Instant now) {
+        if (message instanceof ServingMessage.Reply reply && !reply.isFor(setup.self())) {
+            onReplyToEarlierRun(sender, reply);
+            return;
+        }
         switch (message) {
             case ServingMessage.Heartbeat heartbeat -> {
                 notices.onHeartbeat(sender, heartbeat, now);
@@ -371,7 +375,7 @@
                     onContentionAnnounced(sender);
                 }
                 if (membership.onHeartbeat(sender, heartbeat, reply -> heartbeat(reply, now), now)) {
-                    orders.onPeerRestarted(sender.vm(), now);
+                    orders.onPeerRestarted(sender, now);
                     streams.onPeerRestarted(sender.vm());
                     assignments.onPeerRestarted(sender.vm());
                 }
@@ -410,6 +414,17 @@
         }
     }
 
+    /** Drops a reply to a run of this node that has ended; its number may be that of another message of this run. */
+    private void onReplyToEarlierRun(NodeId sender, ServingMessage.Reply reply) {
+        log(Decision.builder("reply_to_earlier_run")
+                .field("peer", sender)
+                .field("recipient", reply.recipient().orElseThrow())
+                .field("message", reply.getClass().getSimpleName()));
+        if (reply instanceof ServingMessage.BatchReply batch) {
+            orders.onReplyToEarlierRun(sender, batch);
+        }
+    }
+
     /** An upstream has announced to another node how long its work takes. */
     private void onContentionAnnounced(Object source) {
         if (contention.onAnnounced()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/StepOrders.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -96,6 +97,7 @@
             Consumer<ServingEffect> effects,
             BooleanSupplier acceptsWork) {
         this.self = setup.self();
+        this.lastNumber = self.messageNumberBase();
         this.sharesScheduling = setup.features().uses(PolicyFeature.SHARED_FILLING);
         this.peers = peers;
         this.effects = effects;
@@ -204,8 +206,11 @@
         effects.accept(new ServingEffect.SendToPeer(schedulerNode, new ServingMessage.ResultsReleased(results)));
     }
 
-    /** Accepts an order of another node. */
+    /** Accepts an order of another node, unless that has restarted since it sent it. */
     void onBatchRequest(NodeId sender, ServingMessage.BatchRequest request, BatchContract contract, Instant now) {
+        if (peers.ended(sender)) {
+            return;
+        }
         BatchOrder.Urgency urgency = new BatchOrder.Urgency(
                 request.rank(), now.plus(request.targetTimeLeft()), now.plus(request.deadlineLeft()));
         BatchOrder order = new BatchOrder(
@@ -237,6 +242,13 @@
         answer(reply.number(), reply.outcome(), sender.vm(), now);
     }
 
+    /** Releases the results of an order of an earlier run of this node, which nobody needs. */
+    void onReplyToEarlierRun(NodeId sender, ServingMessage.BatchReply reply) {
+        if (reply.outcome() instanceof BatchOutcome.Made made) {
+            release(sender.vm(), made.results());
+        }
+    }
+
     private void answer(long number, BatchOutcome outcome, VmId schedulerNode, Instant now) {
         PendingOrder entry = pending.remove(number);
         if (entry != null) {
@@ -310,13 +322,14 @@
         return partners;
     }
 
-    /** Resends the orders that a peer has lost by its restart. */
-    void onPeerRestarted(VmId peer, Instant now) {
+    /** Resends the orders that a peer has lost by its restart, and withdraws those that its earlier runs placed here. */
+    void onPeerRestarted(NodeId peer, Instant now) {
         for (PendingOrder entry : pending.values()) {
-            if (entry.scheduler.equals(peer)) {
+            if (entry.scheduler.equals(peer.vm())) {
                 entry.resendAt = now;
             }
         }
+        scheduler.onOriginRestarted(peer, now);
     }
 
     boolean idle() {
@@ -344,7 +357,10 @@
             effects.accept(new ServingEffect.SendToPeer(
                     origin.vm(),
                     new ServingMessage.BatchReply(
-                            order.id().number(), outcome, scheduler.fullCallDuration(order.pool()))));
+                            Optional.of(origin),
+                            order.id().number(),
+                            outcome,
+                            scheduler.fullCallDuration(order.pool()))));
         }
 
         @Override
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -97,7 +97,7 @@
     /** Nodes that receive no messages from other nodes. */
     final Set<VmId> isolatedNodes = new HashSet<>();
 
-    /** Nodes of an earlier build, which neither send nor understand messages about streams. */
+    /** Nodes of an earlier build, which neither send nor understand messages about streams and name no recipients. */
     final Set<VmId> earlierBuilds = new HashSet<>();
 
     /** Nodes that cannot connect to any upstream, with the time until an attempt to connect fails. */
@@ -485,6 +485,10 @@
 
     /** A message as its receiver decodes it. */
     private ServingMessage decoded(VmId sender, ServingMessage message) {
+        if (message instanceof ServingMessage.BatchReply reply && earlierBuilds.contains(sender)) {
+            return new ServingMessage.BatchReply(
+                    Optional.empty(), reply.number(), reply.outcome(), reply.callDuration());
+        }
         if (!(message instanceof ServingMessage.Heartbeat heartbeat) || !earlierBuilds.contains(sender)) {
             return message;
         }
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ContentionCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ContentionCodec.java
@@ -9,6 +9,7 @@
 import org.wagtaillug.batch.OrderContext;
 import org.wagtaillug.id.CustomerId;
 import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.SegmentId;
@@ -87,8 +88,9 @@
         return message.build();
     }
 
-    static ServingMessage.ReservationReply decode(ReservationReplyMessage message) {
+    static ServingMessage.ReservationReply decode(Optional<NodeId> recipient, ReservationReplyMessage message) {
         return new ServingMessage.ReservationReply(
+                recipient,
                 message.getNumber(),
                 message.getGranted(),
                 Duration.ofMillis(message.getRetryAfterMillis()),
@@ -137,8 +139,9 @@
         return message.build();
     }
 
-    static ServingMessage.AssignmentReply decode(AssignmentReplyMessage message) {
+    static ServingMessage.AssignmentReply decode(Optional<NodeId> recipient, AssignmentReplyMessage message) {
         return new ServingMessage.AssignmentReply(
+                recipient,
                 message.getNumber(),
                 message.getEnginesList().stream().map(VmId::new).toList());
     }
--- a/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
+++ b/wagtaillug-link/src/main/java/org/wagtaillug/link/ServingCodec.java
@@ -18,6 +18,7 @@
 import org.wagtaillug.feed.FeedName;
 import org.wagtaillug.feed.FeedRecord;
 import org.wagtaillug.id.DomainId;
+import org.wagtaillug.id.NodeId;
 import org.wagtaillug.id.PoolId;
 import org.wagtaillug.id.RequestId;
 import org.wagtaillug.id.VmId;
@@ -58,6 +59,9 @@
     private ServingCodec() {}
 
     static void encode(ServingMessage message, EnvelopeMessage.Builder envelope) {
+        if (message instanceof ServingMessage.Reply reply) {
+            reply.recipient().ifPresent(run -> envelope.setReceiverIncarnation(run.incarnation()));
+        }
         switch (message) {
             case ServingMessage.Heartbeat heartbeat -> envelope.setHeartbeat(encode(heartbeat));
             case ServingMessage.FeedRequest request ->
@@ -102,6 +106,9 @@
      * @throws IllegalArgumentException if a value is outside the range of its type
      */
     static ServingMessage decode(EnvelopeMessage envelope) {
+        Optional<NodeId> recipient = envelope.hasReceiverIncarnation()
+                ? Optional.of(new NodeId(new VmId(envelope.getReceiver()), envelope.getReceiverIncarnation()))
+                : Optional.empty();
         return switch (envelope.getKindCase()) {
             case HEARTBEAT -> decode(envelope.getHeartbeat());
             case FEED_ASK ->
@@ -111,7 +118,7 @@
             case FEED_HELP -> decode(envelope.getFeedHelp());
             case FEED_UPDATE -> decode(envelope.getFeedUpdate());
             case PIECES_WANTED -> decode(envelope.getPiecesWanted());
-            case PIECES_ANSWERED -> decode(envelope.getPiecesAnswered());
+            case PIECES_ANSWERED -> decode(recipient, envelope.getPiecesAnswered());
             case PIECES_WITHDRAWN ->
                 new ServingMessage.BatchCancellation(
                         envelope.getPiecesWithdrawn().getNumber());
@@ -130,12 +137,12 @@
                         decodeOrigins(envelope.getStreamReply().getKnownList()),
                         decodeIds(envelope.getStreamReply().getUnknownList()));
             case RESERVATION_REQUEST -> ContentionCodec.decode(envelope.getReservationRequest());
-            case RESERVATION_REPLY -> ContentionCodec.decode(envelope.getReservationReply());
+            case RESERVATION_REPLY -> ContentionCodec.decode(recipient, envelope.getReservationReply());
             case RESERVATION_CANCELLATION ->
                 new ServingMessage.ReservationCancellation(
                         envelope.getReservationCancellation().getNumbersList());
             case ASSIGNMENT_REQUEST -> ContentionCodec.decode(envelope.getAssignmentRequest());
-            case ASSIGNMENT_REPLY -> ContentionCodec.decode(envelope.getAssignmentReply());
+            case ASSIGNMENT_REPLY -> ContentionCodec.decode(recipient, envelope.getAssignmentReply());
             case ASSIGNMENT_UPDATE -> ContentionCodec.decode(envelope.getAssignmentUpdate());
             default -> throw new IllegalArgumentException("not a serving message: " + envelope.getKindCase());
         };
@@ -435,14 +442,14 @@
         return message.build();
     }
 
-    private static ServingMessage.BatchReply decode(PiecesAnsweredMessage message) {
+    private static ServingMessage.BatchReply decode(Optional<NodeId> recipient, PiecesAnsweredMessage message) {
         BatchOutcome outcome = message.getNotMade() == NotMadeReasonMessage.NOT_MADE_UNSPECIFIED
                 ? new BatchOutcome.Made(decode(message.getResultsList()))
                 : new BatchOutcome.NotMade(decode(message.getNotMade()), Duration.ofMillis(message.getRetryAfter()));
         Optional<Duration> callDuration = message.hasCallDurationMillis()
                 ? Optional.of(Duration.ofMillis(message.getCallDurationMillis()))
                 : Optional.empty();
-        return new ServingMessage.BatchReply(message.getNumber(), outcome, callDuration);
+        return new ServingMessage.BatchReply(recipient, message.getNumber(), outcome, callDuration);
     }
 
     private static NotMadeReasonMessage encode(BatchOutcome.Reason reason) {
--- a/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
+++ b/wagtaillug-link/src/test/java/org/wagtaillug/link/ServingCodecTest.java
@@ -50,6 +50,8 @@
             new RequestId("r-3"), new PoolId("model"), VersionKey.of(""), Optional.empty(), Duration.ofSeconds(2));
     private static final OrderContext CONTEXT =
             new OrderContext(Optional.of(new CustomerId("bozi")), Optional.of(new SegmentId("content:5c1e")), 2);
+    private static final Optional<NodeId> RECIPIENT =
+            Optional.of(new NodeId(new VmId("10.1.0.42"), 1_790_000_000_000L));
     private static final StepResult RESULT = new StepResult("10.1.64.7:8080/91bd", new VmId("i-1"));
 
     static List<ServingMessage> messages() {
@@ -119,8 +121,9 @@
                         Duration.ofMillis(-20),
                         Duration.ofMillis(900),
                         CONTEXT),
-                new ServingMessage.BatchReply(4, new BatchOutcome.Made(List.of(RESULT)), Optional.empty()),
+                new ServingMessage.BatchReply(RECIPIENT, 4, new BatchOutcome.Made(List.of(RESULT)), Optional.empty()),
                 new ServingMessage.BatchReply(
+                        Optional.empty(),
                         4,
                         new BatchOutcome.NotMade(BatchOutcome.Reason.OVERLOADED, Duration.ofMillis(300)),
                         Optional.of(Duration.ofMillis(340))),
@@ -142,8 +145,9 @@
                         Duration.ofMillis(-5),
                         Duration.ofMillis(2_000),
                         CONTEXT),
-                new ServingMessage.ReservationReply(5, false, Duration.ofMillis(700), Optional.empty()),
-                new ServingMessage.ReservationReply(6, true, Duration.ZERO, Optional.of(Duration.ofMillis(340))),
+                new ServingMessage.ReservationReply(RECIPIENT, 5, false, Duration.ofMillis(700), Optional.empty()),
+                new ServingMessage.ReservationReply(
+                        Optional.empty(), 6, true, Duration.ZERO, Optional.of(Duration.ofMillis(340))),
                 new ServingMessage.ReservationCancellation(List.of(5L, 6L)),
                 new ServingMessage.AssignmentRequest(
                         7,
@@ -157,7 +161,7 @@
                         3_000_000,
                         Set.of(new VmId("i-4")),
                         Duration.ofSeconds(4)),
-                new ServingMessage.AssignmentReply(7, List.of(new VmId("i-1"), new VmId("i-2"))),
+                new ServingMessage.AssignmentReply(RECIPIENT, 7, List.of(new VmId("i-1"), new VmId("i-2"))),
                 new ServingMessage.AssignmentUpdate(
                         new PoolId("model"),
                         List.of(
