A record that cannot be decoded no longer hides those behind it in the same read

Cause: decoding the entry threw, and the exception ended the event of the whole read, whose position had already moved on.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/feed/DirectoryItem.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/feed/DirectoryItem.java
@@ -1,5 +1,6 @@
 package org.wagtaillug.feed;
 
+import java.util.Optional;
 import org.wagtaillug.directory.Listing;
 import org.wagtaillug.id.VmId;
 
@@ -22,8 +23,8 @@
     /**
      * The record cannot be decoded, so its upstream cannot be used.
      *
-     * @param upstream the upstream named by the key of the record
+     * @param upstream the upstream named by the key of the record; empty if the key is no id
      * @param reason the reason, for the log
      */
-    record Unreadable(VmId upstream, String reason) implements DirectoryItem {}
+    record Unreadable(Optional<VmId> upstream, String reason) implements DirectoryItem {}
 }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/FeedExchange.java
@@ -338,13 +338,30 @@
     private List<FeedRecord> apply(FeedName name, List<FeedRecord> changed, boolean recentlyFailing, Instant now) {
         List<FeedRecord> changes = new ArrayList<>();
         for (FeedRecord record : changed) {
-            if (handler.onRecord(name, record, recentlyFailing, now)) {
+            if (handle(name, record, recentlyFailing, now)) {
                 changes.add(record);
             }
         }
         return changes;
     }
 
+    /**
+     * Passes a record to the handler. The position of the feed has moved past the whole batch already, so a record that the
+     * handler fails on must not end the batch: those behind it would never be applied.
+     */
+    private boolean handle(FeedName name, FeedRecord record, boolean recentlyFailing, Instant now) {
+        try {
+            return handler.onRecord(name, record, recentlyFailing, now);
+        } catch (RuntimeException exception) {
+            log(Decision.builder("record_failed")
+                    .field("feed", name)
+                    .field("key", record.key())
+                    .field("offset", FeedPosition.text(record.offset()))
+                    .field("reason", exception));
+            return true;
+        }
+    }
+
     /** Requests records from peers while this node cannot read the store. */
     void catchUp(Instant now) {
         for (FeedName name : active) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -559,7 +559,7 @@
                         .field("key", record.key())
                         .field("offset", FeedPosition.text(record.offset()))
                         .field("reason", unreadable.reason()));
-                remove(unreadable.upstream(), record, storeUnstable, now);
+                unreadable.upstream().ifPresent(upstream -> remove(upstream, record, storeUnstable, now));
             }
         }
         return true;
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/FeedExchangeTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/FeedExchangeTest.java
@@ -89,6 +89,25 @@
         assertThatAllSendNorth();
     }
 
+    /** Guards against requests to a server whose removal stands behind a record of another writer in the same read. */
+    @Test
+    void aRecordThatCannotBeHandledDoesNotHideThoseBehindIt() {
+        world.write(FeedName.DIRECTORY, "foreign", "not an item of the directory");
+        world.remove(FeedName.DIRECTORY, "orders-2");
+        world.run(Duration.ofSeconds(2));
+        assertThatAllSendNorth();
+    }
+
+    /** Guards against the same for a node that lists the store when it starts. */
+    @Test
+    void aNodeThatStartsListsRecordsBesideOneThatCannotBeHandled() {
+        world.write(FeedName.DIRECTORY, "foreign", "not an item of the directory");
+        world.remove(FeedName.DIRECTORY, "orders-2");
+        world.start(node(5), 2);
+        world.run(Duration.ofSeconds(3));
+        assertThatAllSendNorth();
+    }
+
     @Test
     void aRestartedNodeFollowsAgain() {
         Set<VmId> readers = readersWithin(Duration.ofSeconds(3));
