A heartbeat that the store executes late no longer takes a leaving server into use again

Cause: entries of one run were ordered by their offset only; the sequence that their server gives them was not read. The same holds for a heartbeat that is executed after the removal of its entry.

Why it works: start and sequence say which of two entries was written last, wherever they stand. An entry that comes back after its removal is used after a further heartbeat, which a server that has left does not send.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/directory/UpstreamDirectory.java
@@ -32,6 +32,7 @@
     private final Map<VmId, Instant> listedColdUntil = new HashMap<>();
     private final Set<DomainId> domainsOutOfService = new HashSet<>();
     private final Map<VmId, Removal> removals = new HashMap<>();
+    private final ReappearedEntries reappeared = new ReappearedEntries();
     private final Map<VmId, Instant> restartSuspectedUntil = new HashMap<>();
     private final Map<VmId, Deque<Long>> restarts = new HashMap<>();
     private final Departures departures = new Departures();
@@ -52,27 +53,52 @@
     }
 
     /**
-     * Whether an entry is older than what is known, as the store has come back from an earlier copy: an earlier run of the
-     * upstream, a run that has announced its leaving since, or one whose entry was removed.
+     * Whether an entry is older than what is known, as the store has executed it late or has come back from an earlier copy:
+     * an earlier run of the upstream, an earlier entry of its run, a run that has announced its leaving since, or one whose
+     * entry was removed.
      *
      * @param storeUnstable whether the store was unreachable, or came back from a copy, shortly before
      */
     public boolean obsolete(Listing listing, boolean storeUnstable, Instant now) {
-        Upstream known = upstreams.get(listing.id());
-        if (known != null
-                && listing.incarnation() != 0
-                && listing.incarnation() < known.listing().incarnation()) {
+        Optional<Listing> latest = latest(listing.id());
+        if (latest.isEmpty()) {
+            return false;
+        }
+        boolean earlierRun = listing.incarnation() != 0
+                && listing.incarnation() < latest.get().incarnation();
+        if (earlierRun || listing.olderThan(latest.get())) {
             return true;
         }
-        if (!storeUnstable) {
+        boolean sameRun = listing.incarnation() == latest.get().incarnation();
+        if (!storeUnstable || !sameRun) {
             return false;
         }
-        if (known != null) {
-            boolean sameRun = listing.incarnation() == known.listing().incarnation();
-            return sameRun && known.listing().leaving() && !listing.leaving();
-        }
+        boolean removed = !upstreams.containsKey(listing.id());
+        return removed || (latest.get().leaving() && !listing.leaving());
+    }
+
+    /** The latest entry of an upstream that is listed, or was removed shortly before. */
+    private Optional<Listing> latest(VmId id) {
+        return find(id).map(Upstream::listing)
+                .or(() -> Optional.ofNullable(removals.get(id)).map(Removal::listing));
+    }
+
+    /**
+     * Whether an entry may have been written before the entry of its run was removed, so that it must be confirmed by a later
+     * one; see {@link #pollReappeared}.
+     */
+    public boolean unconfirmed(Listing listing, Instant now) {
         Removal removal = removals.get(listing.id());
-        return removal != null && removal.listing().incarnation() == listing.incarnation();
+        boolean sameRun = removal != null
+                && !upstreams.containsKey(listing.id())
+                && removal.listing().incarnation() == listing.incarnation();
+        boolean ordered = listing.incarnation() != 0 && listing.sequence() != 0;
+        return sameRun && ordered && reappeared.unconfirmed(listing, now);
+    }
+
+    /** Removes and returns the entries that were not confirmed, but have stayed long enough to be used. */
+    public List<Listing> pollReappeared(Instant now) {
+        return reappeared.pollUsable(now);
     }
 
     /** Adds or updates the entry of an upstream. */
@@ -85,6 +111,7 @@
             byPool.get(known.pool()).remove(known.id());
         }
         pendingRemovals.remove(listing.id());
+        reappeared.remove(listing.id());
         restartSuspectedUntil.remove(listing.id());
         listedColdUntil.put(listing.id(), coldUntil);
         upstreams.put(listing.id(), upstream);
@@ -105,6 +132,7 @@
      * @param heldUntil until when the entry may reappear, as the store was unavailable
      */
     public Change onRemoved(VmId id, Instant heldUntil, Instant now) {
+        reappeared.remove(id);
         if (!upstreams.containsKey(id)) {
             return Change.NONE;
         }
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -267,6 +267,10 @@
         for (VmId expired : directory.onTick(now)) {
             log(Decision.builder("upstream_lapsed").field("upstream", expired));
         }
+        for (Listing listing : directory.pollReappeared(now)) {
+            directory.onListing(listing, now);
+            log(Decision.builder("upstream_reappeared").field("upstream", listing.id()));
+        }
         notices.onTick(now);
         assignments.onHousekeeping(now);
         paths.onTick(now);
@@ -537,11 +541,17 @@
                     log(Decision.builder("upstream_older")
                             .field("upstream", listing.id())
                             .field("offset", FeedPosition.text(record.offset())));
+                    return false;
+                }
+                if (directory.unconfirmed(listing, now)) {
+                    log(Decision.builder("upstream_unconfirmed")
+                            .field("upstream", listing.id())
+                            .field("offset", FeedPosition.text(record.offset())));
                     return true;
                 }
                 boolean known = directory
                         .find(listing.id())
-                        .map(entry -> entry.listing().equals(listing))
+                        .map(entry -> listing.renews(entry.listing()))
                         .orElse(false);
                 UpstreamDirectory.Change change = directory.onListing(listing, now);
                 if (change == UpstreamDirectory.Change.RESTARTED) {
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/ServingWorld.java
@@ -271,7 +271,7 @@
     }
 
     void register(String id, PoolId pool, int slots) {
-        Listing listing = new Listing(new VmId(id), 1, pool, "10.0.0.1", 80, NORTH, false, Duration.ZERO, "", slots);
+        Listing listing = new Listing(new VmId(id), 1, pool, "10.0.0.1", 80, NORTH, false, Duration.ZERO, "", slots, 0);
         write(FeedName.DIRECTORY, id, new DirectoryItem.Listed(listing));
     }
 
