Streams no longer run on more living servers than their route allows

What callers saw: nothing by itself.

Cause: once the answer has begun, executions no longer grow, and a break that is not yet refuted counted as a crash, which is free. The last break is never refuted when the next upstream is chosen.

Change: an undecided break counts as an attempt. Executions before the answer began and breaks after it are added up.

Evidence: BrokenStreamTest sent three times for two before, and passes now.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -48,6 +48,7 @@
     private int executions;
     private int stepRestarts;
     private final List<Crash> crashes = new ArrayList<>();
+    private final Set<VmId> endedUpstreams = new HashSet<>();
     private int refutedCrashes;
     private boolean trial;
     private boolean readingPrompt;
@@ -65,7 +66,7 @@
      */
     record SlowestStep(int step, PoolId pool, Duration took) {}
 
-    private record Crash(UpstreamRun run, Instant at) {}
+    private record Crash(UpstreamRun run, Instant at, boolean answerStarted) {}
 
     Flow(RoutedRequest request, Route route, Optional<CustomerId> customer, int rank, Instant now) {
         this.request = request;
@@ -357,27 +358,69 @@
 
     /** Records that an upstream may have crashed while it answered this request. */
     void recordCrash(UpstreamRun run, Instant now) {
-        crashes.add(new Crash(run, now));
+        crashes.add(new Crash(run, now, answerStarted));
     }
 
     /** Records that an upstream has answered an attempt, and so has not crashed before that was sent. */
     void onUpstreamAnswered(UpstreamRun run, Instant attemptSentAt) {
         for (Crash crash : List.copyOf(crashes)) {
             if (crash.run().equals(run) && crash.at().isBefore(attemptSentAt)) {
-                crashes.remove(crash);
-                refutedCrashes++;
+                refute(crash);
             }
         }
     }
 
+    /** Records that an upstream has been reached after all answers that it broke off, and so has not crashed. */
+    void onUpstreamReached(VmId upstream) {
+        List.copyOf(crashes).stream()
+                .filter(crash -> crash.run().upstream().equals(upstream))
+                .forEach(this::refute);
+    }
+
+    private void refute(Crash crash) {
+        crashes.remove(crash);
+        if (crash.answerStarted()) {
+            refutedCrashes++;
+        }
+    }
+
+    /** Records that an upstream that broke off an answer of this request has ended or is cut off. */
+    void onUpstreamEnded(VmId upstream) {
+        if (crashes.stream().anyMatch(crash -> crash.run().upstream().equals(upstream))) {
+            endedUpstreams.add(upstream);
+        }
+    }
+
+    /** The runs of upstreams that broke off the begun answer and that may have crashed or not. */
+    List<UpstreamRun> undecidedRuns() {
+        return crashes.stream()
+                .filter(Crash::answerStarted)
+                .map(Crash::run)
+                .filter(run -> !endedUpstreams.contains(run.upstream()))
+                .toList();
+    }
+
     /** The runs of upstreams that may have ended while they answered this request. */
     List<UpstreamRun> crashedRuns() {
         return crashes.stream().map(Crash::run).toList();
     }
 
-    /** How often an answer broke off although its upstream goes on running. */
-    int refutedCrashes() {
-        return refutedCrashes;
+    /**
+     * How often this request was executed without the begun answer being broken off by the end of its upstream; those of
+     * which that is not known are included.
+     */
+    int runsOnLivingUpstreams() {
+        return executionsBeforeAnswer() + refutedCrashes + undecidedRuns().size();
+    }
+
+    /** Whether it depends on undecided runs whether this request has been executed as often as its route allows. */
+    boolean attemptsDependOnLiveness() {
+        int decided = Math.max(executions, executionsBeforeAnswer() + refutedCrashes);
+        return decided < route.attempts() && runsOnLivingUpstreams() >= route.attempts();
+    }
+
+    private int executionsBeforeAnswer() {
+        return answerStarted ? executions - 1 : executions;
     }
 
     /** Whether this request is sent in spite of a quarantine, to find out whether that is still needed. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RequestFlows.java
@@ -82,6 +82,7 @@
     private final ArrivalRefusals refusals;
     private final Map<RequestId, Flow> flows = new LinkedHashMap<>();
     private final WaitingSends waiting;
+    private final LivenessChecks liveness;
     private ServingConfiguration configuration;
     private int lastAttempt;
 
@@ -112,6 +113,7 @@
         this.refusals = new ArrivalRefusals(effects, log);
         this.selection = new AttemptSelection(upstreams, chooser, rollouts, streams, log);
         this.waiting = new WaitingSends(selection);
+        this.liveness = new LivenessChecks(directory, effects);
         StepTimes times = new StepTimes(engineTimes, features, orders.calls());
         this.pathEstimate = new PathEstimate(times);
         this.steps = new FlowSteps(
@@ -135,22 +137,13 @@
         priorities.configure(latest);
     }
 
-    boolean idle() {
-        return flows.isEmpty();
-    }
-
     int size() {
         return flows.size();
     }
 
     /** Whether any request has no started answer. */
     boolean awaitingAnswer() {
-        for (Flow flow : flows.values()) {
-            if (!flow.answerStarted()) {
-                return true;
-            }
-        }
-        return false;
+        return flows.values().stream().anyMatch(flow -> !flow.answerStarted());
     }
 
     /** Handles the restart of an upstream. */
@@ -467,18 +460,16 @@
                 sendOrFail(flow, retries.tryAfterNoSend(flow, now), "was reached", now);
             }
             case SendEnd.NoPath ignored -> sendOrFail(flow, retries.tryAfterNoSend(flow, now), "was reached", now);
-            case SendEnd.NotRun notRun -> {
-                if (notRun.status() == STATUS_UNAVAILABLE) {
-                    notices.onRejected(upstream.listing(), now);
-                }
-                onNotRun(flow, notRun.status(), now);
-            }
+            case SendEnd.NotRun notRun -> onNotRun(flow, upstream, notRun.status(), now);
             case SendEnd.Failed ignored -> onFailed(flow, now);
             case SendEnd.Broken broken -> onBroken(flow, upstream, broken, now);
         }
     }
 
-    private void onNotRun(Flow flow, int status, Instant now) {
+    private void onNotRun(Flow flow, Upstream upstream, int status, Instant now) {
+        if (status == STATUS_UNAVAILABLE) {
+            notices.onRejected(upstream.listing(), now);
+        }
         if (status != STATUS_INPUTS_GONE || flow.steps().isEmpty()) {
             boolean allowed = retries.tryAfterRejection(flow, RetryDecisions.Cause.REJECTED, now);
             sendOrFail(flow, allowed, "accepted the request", now);
@@ -524,9 +515,26 @@
         }
         flow.recordCrash(QuarantineExchange.run(upstream), now);
         quarantine.onBroken(flow.request(), upstream, now);
+        if (retries.mayCrashAnother(flow, now) || !liveness.await(flow, now)) {
+            sendAfterBreak(flow, broken.reason(), now);
+        }
+    }
+
+    void onConnectEnded(ServingEvent.ConnectEnded ended, Instant now) {
+        liveness.onConnectEnded(flows.values(), ended);
+        continueBrokenAnswers(now);
+    }
+
+    private void continueBrokenAnswers(Instant now) {
+        for (RequestId id : liveness.pollDecided(now)) {
+            sendAfterBreak(flows.get(id), "as many upstreams as the route allows broke it off and go on", now);
+        }
+    }
+
+    private void sendAfterBreak(Flow flow, String reason, Instant now) {
         if (!retries.tryAfterExecution(flow, RetryDecisions.Cause.BROKEN, now)) {
             String message = !retries.mayCrashAnother(flow, now)
-                    ? "the upstream failed before its answer was complete: " + broken.reason()
+                    ? "the upstream failed before its answer was complete: " + reason
                     : "upstreams " + flow.crashedRuns() + " have failed while they answered the request";
             fail(flow, ResultCode.OUTCOME_UNKNOWN, message, now);
             return;
@@ -568,6 +576,7 @@
         steps.endRequest(flow, now);
         flows.remove(id);
         waiting.remove(id);
+        liveness.remove(id);
         assignments.onFinished(flow, now);
         Duration took = Duration.between(flow.arrivedAt(), now);
         effects.accept(new ServingEffect.Finished(id, flow.route().id().value(), outcome, took));
@@ -633,6 +642,7 @@
             }
             inputs.onTick(flow, now);
         }
+        continueBrokenAnswers(now);
         sendWaiting(waiting.forUpstreams(), now);
         onDirectoryRead(now);
         onAssigned(now);
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/RetryDecisions.java
@@ -116,9 +116,9 @@
         return allowed;
     }
 
-    /** Executions stop growing when the answer begins; from then on its route bounds the upstreams that broke it off alive. */
     private static boolean attemptsLeftAfterExecution(Flow flow) {
-        return Math.max(flow.executions(), flow.refutedCrashes()) < flow.route().attempts();
+        return Math.max(flow.executions(), flow.runsOnLivingUpstreams())
+                < flow.route().attempts();
     }
 
     /** Whether a request must not be sent to another upstream, as too many may have crashed under it. */
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Serving.java
@@ -220,6 +220,7 @@
             directory.find(ended.upstream()).ifPresent(upstream -> quarantine.onConnectionRefused(upstream, now));
         }
         paths.onConnectEnded(ended, now);
+        flows.onConnectEnded(ended, now);
     }
 
     private void onWallClockSet(Duration offset) {
@@ -254,7 +255,7 @@
             advanceShutdown(now);
         }
         orders.onTick(now);
-        if (shutdown.pollFinished(flows.idle() && orders.idle(), now)) {
+        if (shutdown.pollFinished(flows.size() == 0 && orders.idle(), now)) {
             log(Decision.builder("shutdown_ends")
                     .field("since_signal_ms", shutdown.since(now).toMillis())
                     .field("reason", shutdown.outOfTime(now) ? "grace period elapsed" : "all requests answered")
