An answer that ends with its connection counts only if the upload was written

What callers saw: a 200 with a part of an answer as its whole body, when a server answered an upload early and reset the connection (MIXED).

Cause: the failed write takes the socket's error, so the next read finds an orderly end, and only the response's failure was looked at.

Change: without a length or chunks, an answer whose request failed is broken.

--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -185,7 +185,7 @@
         if (abortReason.isPresent()) {
             return new SendEnd.Broken(abortReason.get(), events.lastEventId());
         }
-        if (result.getResponseFailure() != null || result.getResponse().getStatus() == 0) {
+        if (!whole(result)) {
             return failureEnd(result.getFailure());
         }
         HttpFields head = result.getResponse().getHeaders();
@@ -204,6 +204,18 @@
         };
     }
 
+    /**
+     * Whether an answer was received to its end. The end of a connection says so only if the request was written without a
+     * failure: a write that fails takes the error of the connection, so that the next read finds an orderly end.
+     */
+    static boolean whole(Result result) {
+        if (result.getResponseFailure() != null || result.getResponse().getStatus() == 0) {
+            return false;
+        }
+        return result.getRequestFailure() == null
+                || delimited(result.getResponse().getHeaders());
+    }
+
     private static boolean delimited(HttpFields head) {
         return head.contains(HttpHeader.CONTENT_LENGTH) || head.contains(HttpHeader.TRANSFER_ENCODING);
     }
