Only final statuses of HTTP are passed on, and interim answers are read over

Cause: the client checks for three digits only, and without its protocol handlers nothing read on after an interim answer.

--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/RoutedDaemon.java
@@ -268,13 +268,14 @@
     }
 
     /**
-     * Answers are forwarded unchanged: the client must not follow redirects, decode content or handle protocol
+     * Answers are forwarded unchanged: the client must not follow redirects, decode content or handle final protocol
      * responses itself.
      */
     private static void start(HttpClient client) throws Exception {
         client.start();
         client.getContentDecoderFactories().clear();
         client.getProtocolHandlers().clear();
+        client.getProtocolHandlers().put(new InterimAnswers());
     }
 
     /** Without a configured listener, no peer is told of the tunnels of this node. */
--- a/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
+++ b/wagtaillug-daemon/src/main/java/org/wagtaillug/daemon/routed/UpstreamAnswer.java
@@ -35,6 +35,7 @@
 
     private static final int FIRST_FAILURE = 300;
     private static final int FIRST_SUCCESS = 200;
+    private static final int LAST_STATUS = 599;
 
     private final SendOrder order;
     private final RoutedExchange exchange;
@@ -91,6 +92,10 @@
     void onHeaders(Response response) {
         HttpFields head = response.getHeaders();
         int status = response.getStatus();
+        if (status < FIRST_SUCCESS || status > LAST_STATUS) {
+            abort(response, "the answer has status " + status + ", which no final answer of HTTP has");
+            return;
+        }
         Optional<String> answered = translation.answeredRequest(head);
         boolean ofAnotherRequest =
                 answered.filter(id -> !id.equals(order.request().value())).isPresent();
