An unnamed take-up waits for a read of the directory before it trusts the only version

What callers saw: events of two versions in one stream, at a node that had not heard yet of a version that was joining (ORDER).

Cause: the decision used the record of versions, written up to a second late, and a directory as old as the latest read; the directory was confirmed only after the stream had been bound.

Change: the directory is confirmed from the request's arrival before the decision, and not once more for the same request.

Evidence: UnnamedStreamsTest.aNodeThatIsOutOfStepDoesNotGuess failed in 10 of 19 cases before, passes now.

--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/AttemptSelection.java
@@ -26,6 +26,9 @@
  * of the pool and version that began it.
  */
 final class AttemptSelection {
+    private static final String UNREADABLE =
+            "the versions of the upstreams cannot be read from the store or from other nodes";
+
     /** Allowance for the difference between the clocks of nodes and of upstreams. */
     private static final Duration CLOCK_TOLERANCE = Duration.ofMillis(500);
 
@@ -126,10 +129,7 @@
         return switch (directoryConfirmation.apply(flow.untargetedSince())) {
             case CONFIRMED -> Optional.empty();
             case PENDING -> Optional.of(new Selection.Unconfirmed());
-            case IMPOSSIBLE ->
-                Optional.of(new Selection.Impossible(
-                        ResultCode.STREAM_NOT_RESUMABLE,
-                        "the versions of the upstreams cannot be read from the store or from other nodes"));
+            case IMPOSSIBLE -> Optional.of(new Selection.Impossible(ResultCode.STREAM_NOT_RESUMABLE, UNREADABLE));
         };
     }
 
@@ -230,20 +230,25 @@
                         ResultCode.STREAM_NOT_RESUMABLE,
                         "it is not known at which version the stream began: " + unknown.reason()));
             case StreamExchange.Finding.Found found -> {
-                flow.bind(found.origin().stream(), found.origin().pool(), now);
+                // The directory has been read for a request that names no stream, which need not wait for it again.
+                flow.bind(found.origin().stream(), found.origin().pool(), namesStream(flow) ? now : flow.arrivedAt());
                 log.streamContinues(flow, found.origin(), now);
                 yield obstacleToContinue(flow, now).map(obstacle -> obstacle);
             }
         };
     }
 
+    private static boolean namesStream(Flow flow) {
+        return flow.request().resumption().flatMap(Resumption::stream).isPresent();
+    }
+
     private StreamExchange.Finding origin(Flow flow, Instant now) {
         if (!flow.route().resumable()) {
             return new StreamExchange.Finding.Unknown("streams of its route cannot be resumed");
         }
         Optional<RequestId> stream = flow.request().resumption().flatMap(Resumption::stream);
         if (stream.isEmpty()) {
-            return streams.onlyOrigin(flow, now);
+            return onlyOrigin(flow, now);
         }
         StreamExchange.Finding finding = streams.find(stream.get(), now);
         if (finding instanceof StreamExchange.Finding.Found found
@@ -254,6 +259,16 @@
         return finding;
     }
 
+    /** Another node may have begun the stream at a version that this one has not heard of, so the directory is read first. */
+    private StreamExchange.Finding onlyOrigin(Flow flow, Instant now) {
+        return switch (directoryConfirmation.apply(flow.arrivedAt())) {
+            case CONFIRMED -> streams.onlyOrigin(flow, now);
+            case PENDING -> new StreamExchange.Finding.Searching();
+            case IMPOSSIBLE ->
+                new StreamExchange.Finding.Unknown("its caller names no earlier request, and " + UNREADABLE);
+        };
+    }
+
     /** Why the stream of a request cannot go on now or later; empty if it can, or if the request begins a new one. */
     Optional<Selection.Impossible> obstacleToContinue(Flow flow, Instant now) {
         if (flow.stream().isEmpty() || !usable(flow, now).isEmpty()) {
--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -132,9 +132,13 @@
         return route.kind() == RouteKind.STREAM && lastEvent.isPresent() && stream.isEmpty();
     }
 
-    /** Binds this request to a stream, which goes on in the pool in which it began. */
-    void bind(RequestId boundStream, PoolId boundPool, Instant now) {
-        untargetedSince = now;
+    /**
+     * Binds this request to a stream, which goes on in the pool in which it began.
+     *
+     * @param since the directory must have been read since then before the request is sent
+     */
+    void bind(RequestId boundStream, PoolId boundPool, Instant since) {
+        untargetedSince = since;
         stream = Optional.of(boundStream);
         pool = boundPool;
     }
--- a/wagtaillug-core/src/test/java/org/wagtaillug/serving/UnnamedStreamsTest.java
+++ b/wagtaillug-core/src/test/java/org/wagtaillug/serving/UnnamedStreamsTest.java
@@ -138,6 +138,46 @@
         assertRefused(fleet, takeUp(fleet, node, Duration.ofMillis(100)));
     }
 
+    /** Guards against a node that has not heard yet of a version at which others have begun streams. */
+    @ParameterizedTest
+    @CsvSource({
+        "false, false, 20",
+        "false, false, 60",
+        "false, false, 100",
+        "false, false, 200",
+        "false, false, 500",
+        "true, false, 60",
+        "true, false, 100",
+        "true, false, 200",
+        "true, false, 300",
+        "true, false, 500",
+        "true, false, 1000",
+        "false, true, 100",
+        "false, true, 300",
+        "false, true, 1000",
+        "false, true, 4000",
+        "true, true, 100",
+        "true, true, 300",
+        "true, true, 1000",
+        "true, true, 4000"
+    })
+    void aNodeThatIsOutOfStepDoesNotGuess(boolean withoutPeers, boolean withoutStore, int takeUpAfter) {
+        for (int number = 1; number <= 9; number++) {
+            StreamFleet fleet = fleet(9);
+            VmId node = fleet.node(number);
+            if (withoutPeers) {
+                fleet.isolate(node);
+            }
+            if (withoutStore) {
+                fleet.cutOffFromStore(node);
+            }
+            fleet.run(Duration.ofSeconds(1), 0);
+            start(fleet, NEW);
+            fleet.run(Duration.ofMillis(takeUpAfter), 0);
+            assertRefused(fleet, takeUp(fleet, node, Duration.ofMillis(2500)));
+        }
+    }
+
     /** Guards against a store that has come back from a copy made before the upgrade. */
     @Test
     void aStoreThatComesBackFromAnEarlierCopyDoesNotHideAVersion() {
