--- a/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
+++ b/wagtaillug-core/src/main/java/org/wagtaillug/serving/Flow.java
@@ -49,7 +49,7 @@
     private int stepRestarts;
     private final List<Crash> crashes = new ArrayList<>();
     private final Set<VmId> endedUpstreams = new HashSet<>();
-    private int refutedCrashes;
+    private int answersBrokenOffAlive;
     private boolean trial;
     private boolean readingPrompt;
     private boolean answerStarted;
@@ -384,7 +384,7 @@
     private void refute(Crash crash) {
         crashes.remove(crash);
         if (crash.answerStarted()) {
-            refutedCrashes++;
+            answersBrokenOffAlive++;
         }
     }
 
@@ -409,17 +409,16 @@
         return crashes.stream().map(Crash::run).toList();
     }
 
-    /**
-     * How often this request was executed without the begun answer being broken off by the end of its upstream; those of
-     * which that is not known are included.
-     */
+    /** How often this request was executed, without the begun answers whose upstreams are known to have ended. */
     int runsOnLivingUpstreams() {
-        return executionsBeforeAnswer() + refutedCrashes + undecidedRuns().size();
+        return executionsBeforeAnswer()
+                + answersBrokenOffAlive
+                + undecidedRuns().size();
     }
 
-    /** Whether it depends on undecided runs whether this request has been executed as often as its route allows. */
+    /** Whether this request has executions left for its route only if some of the undecided runs have ended. */
     boolean attemptsDependOnLiveness() {
-        int decided = Math.max(executions, executionsBeforeAnswer() + refutedCrashes);
+        int decided = Math.max(executions, executionsBeforeAnswer() + answersBrokenOffAlive);
         return decided < route.attempts() && runsOnLivingUpstreams() >= route.attempts();
     }
 
